--- /dev/null
+++ b/cmd/bronzestair/demo_fleet.go
@@ -0,0 +1,203 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"bronzestair"
+	"bronzestair/core/book"
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/io/platform"
+	"bronzestair/standin"
+)
+
+const (
+	demoEntries     = 7
+	demoSlots       = 8
+	demoServiceTime = 4 * time.Millisecond
+	demoListLag     = 2 * time.Second
+	demoStartLimit  = 10 * time.Second
+)
+
+// demoFleet is a whole deployment on loopback addresses in this process.
+type demoFleet struct {
+	config   fleet.Fleet
+	platform *standin.Platform
+	runners  []*standin.Runner
+	servers  []*standin.Server
+	client   *platform.Client
+	entries  []*bronzestair.Entry
+	callers  []net.Listener
+	cancel   context.CancelFunc
+	group    errgroup.Group
+}
+
+// startDemoFleet starts the platform, the runners and the entries.
+func startDemoFleet(ctx context.Context) (*demoFleet, error) {
+	f := &demoFleet{platform: standin.NewPlatform(demoListLag)}
+	server, err := standin.Serve(f.platform)
+	if err != nil {
+		return nil, err
+	}
+	f.servers = append(f.servers, server)
+	f.client = platform.NewClient(server.Address)
+	if err := f.startRunners(); err != nil {
+		return nil, err
+	}
+	if err := f.listen(); err != nil {
+		return nil, err
+	}
+	if err := f.configure(ctx); err != nil {
+		return nil, err
+	}
+	ctx, f.cancel = context.WithCancel(ctx)
+	for i := range demoEntries {
+		if err := f.startEntry(ctx, i, server.Address); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.awaitReady(ctx)
+}
+
+func (f *demoFleet) startRunners() error {
+	for _, size := range standin.Skywatch() {
+		pool := service.PoolID(size.ID)
+		f.config.Services = append(f.config.Services, service.Service{ID: size.ID, Pool: pool})
+		for n := range size.Runners {
+			id := standin.RunnerID(size.ID, n+1)
+			r := standin.NewRunner(id, demoServiceTime)
+			server, err := standin.Serve(r)
+			if err != nil {
+				return err
+			}
+			rack, dataCentre := standin.Place(len(f.runners))
+			f.runners = append(f.runners, r)
+			f.servers = append(f.servers, server)
+			f.config.Runners = append(f.config.Runners, runner.Runner{
+				ID: id, Pool: pool, Address: server.Address, Rack: rack, DataCentre: dataCentre, Slots: demoSlots,
+			})
+		}
+	}
+	return nil
+}
+
+// listen opens the callers' addresses and names the entries.
+func (f *demoFleet) listen() error {
+	for i := range demoEntries {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		f.callers = append(f.callers, l)
+		f.config.Entries = append(f.config.Entries, fleet.Entry{
+			ID:          demoEntryID(i),
+			PeerAddress: l.Addr().(*net.TCPAddr).AddrPort(),
+		})
+	}
+	return nil
+}
+
+func demoEntryID(i int) fleet.EntryID { return fleet.EntryID(fmt.Sprintf("entry-%d", i+1)) }
+
+// configure writes the configuration and the list of instances to the platform.
+func (f *demoFleet) configure(ctx context.Context) error {
+	value, err := json.Marshal(f.config)
+	if err != nil {
+		return err
+	}
+	_, err = f.client.PutRow(ctx, platform.ConfigurationTable, platform.FleetKey, 0, value)
+	if err != nil {
+		return err
+	}
+	var list []platform.Instance
+	for _, r := range f.config.Runners {
+		list = append(list, platform.Instance{ID: r.ID})
+	}
+	f.platform.SetInstances(list)
+	return nil
+}
+
+func (f *demoFleet) startEntry(ctx context.Context, i int, platformAddress netip.AddrPort) error {
+	e, err := bronzestair.New(
+		bronzestair.WithID(demoEntryID(i)),
+		bronzestair.WithCallerListener(f.callers[i]),
+		bronzestair.WithPlatform(platformAddress),
+		bronzestair.WithTrustedCaller(true),
+	)
+	if err != nil {
+		return err
+	}
+	f.entries = append(f.entries, e)
+	f.group.Go(func() error { return e.Run(ctx) })
+	return nil
+}
+
+func (f *demoFleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoStartLimit)
+	defer cancel()
+	for _, e := range f.entries {
+		for !e.Ready() {
+			select {
+			case <-ctx.Done():
+				return merry.New("the entries did not become ready in time")
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *demoFleet) callerAddresses() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, l := range f.callers {
+		out = append(out, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return out
+}
+
+// stop ends the entries gracefully.
+func (f *demoFleet) stop() error {
+	f.cancel()
+	return f.group.Wait()
+}
+
+// close ends the stand-ins.
+func (f *demoFleet) close() {
+	f.client.Close()
+	for _, s := range f.servers {
+		s.Close()
+	}
+}
+
+// bookLines reads all lines back from the platform.
+func (f *demoFleet) bookLines(ctx context.Context) ([]book.Line, error) {
+	batches, err := f.client.Batches(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var lines []book.Line
+	for _, b := range batches {
+		lines = append(lines, b.Lines...)
+	}
+	return lines, nil
+}
+
+// executions returns how often each key was run, over all runners.
+func (f *demoFleet) executions() map[string]int {
+	out := map[string]int{}
+	for _, r := range f.runners {
+		for key, n := range r.ByKey() {
+			out[key] += n
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/entry/arrival.go
@@ -0,0 +1,84 @@
+package entry
+
+import "time"
+
+// arrived admits a request: to a runner, to the queue, or not at all.
+func (s *State) arrived(e *Arrived) {
+	r := s.open(e)
+	svc, ok := s.services[e.Service]
+	if !ok {
+		s.refuse(r, UnknownService)
+		return
+	}
+	r.service = svc
+	switch {
+	case s.stopping:
+		s.refuse(r, EntryStopping)
+	case !s.now.Before(r.deadline):
+		s.refuse(r, DeadlineReached)
+	case svc.queue.Len() == 0 && s.start(r, nil):
+		// On its way.
+	case !s.meetable(r):
+		s.refuse(r, DeadlineUnmeetable)
+	default:
+		s.enqueue(r)
+		s.serve(svc)
+	}
+}
+
+// enqueue makes a request wait. In a full queue the least urgent is refused.
+func (s *State) enqueue(r *request) {
+	r.phase = queued
+	displaced, full, added := r.service.queue.Push(r.item())
+	if !full {
+		return
+	}
+	loser := s.find(RequestID(displaced.Request))
+	if loser == nil {
+		return
+	}
+	if added {
+		s.refuse(loser, Displaced)
+		return
+	}
+	s.refuse(loser, QueueFull)
+}
+
+// meetable reports whether a request that would wait now can be answered
+// before its deadline, judged by the queue ahead and the usual time of a request.
+func (s *State) meetable(r *request) bool {
+	svc := r.service
+	held := 0
+	for _, runner := range svc.runners {
+		held += runner.ledger.Held().Count()
+	}
+	ahead := svc.queue.Ahead(r.item())
+	wait := svc.latency * float64(ahead+1) / float64(max(held, 1))
+	finish := s.now.Add(time.Duration(wait + svc.latency))
+	return !finish.After(r.deadline)
+}
+
+// callerLeft forgets a request that waits. One that runs goes on to its end,
+// so that its verdict is known and its slot is not given away too early.
+func (s *State) callerLeft(e *CallerLeft) {
+	r := s.find(e.Request)
+	if r == nil {
+		return
+	}
+	r.callerLeft = true
+	if r.phase == queued {
+		r.service.queue.Remove(uint64(r.id))
+		s.emit(Effect{Kind: Discard, Request: r.id})
+		s.end(r, r.verdict(), CallerGone)
+	}
+}
+
+// deadlinePassed refuses a request that waits. One that runs is ended by its attempt.
+func (s *State) deadlinePassed(e *DeadlinePassed) {
+	r := s.find(e.Request)
+	if r == nil || r.phase != queued || s.now.Before(r.deadline) {
+		return
+	}
+	r.service.queue.Remove(uint64(r.id))
+	s.refuse(r, DeadlineReached)
+}
--- /dev/null
+++ b/core/entry/configuration.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"bronzestair/core/fleet"
+	"bronzestair/core/queue"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/slot"
+)
+
+// configured puts a newer configuration in force. What is known of runners
+// and services that stay is kept.
+func (s *State) configured(e *Configured) {
+	if e.Fleet.Version <= s.Version() {
+		return
+	}
+	s.fleet = e.Fleet
+	services := make(map[service.ID]*serviceState, len(e.Fleet.Services))
+	runners := make(map[runner.ID]*runnerState, len(e.Fleet.Runners))
+	for _, config := range e.Fleet.Services {
+		svc := s.serviceFor(config)
+		svc.runners = svc.runners[:0:0]
+		for _, r := range e.Fleet.RunnersOf(config) {
+			state := s.runnerFor(r, e.Fleet)
+			state.service = svc
+			runners[r.ID] = state
+			svc.runners = append(svc.runners, state)
+		}
+		svc.loads = make([]runner.Load, len(svc.runners))
+		services[config.ID] = svc
+	}
+	s.services = services
+	s.runners = runners
+	for _, config := range e.Fleet.Services {
+		s.serve(services[config.ID])
+	}
+}
+
+func (s *State) serviceFor(config service.Service) *serviceState {
+	svc, ok := s.services[config.ID]
+	if !ok {
+		svc = &serviceState{queue: queue.New(config.QueueLimit())}
+	}
+	svc.config = config
+	svc.queue.SetLimit(config.QueueLimit())
+	return svc
+}
+
+func (s *State) runnerFor(config runner.Runner, f *fleet.Fleet) *runnerState {
+	state, ok := s.runners[config.ID]
+	if !ok {
+		ids := f.EntryIDs()
+		homes := slot.Homes(ids, string(config.ID), config.SlotCount())
+		state = &runnerState{ledger: slot.NewLedger(homes[s.self], config.SlotCount())}
+	}
+	state.config = config
+	state.connectionShare = config.ConnectionShare(len(f.Entries))
+	return state
+}
+
+// listed marks the leaving runners. They get no new work.
+func (s *State) listed(e *Listed) {
+	for _, r := range s.runners {
+		r.leaving = false
+	}
+	for _, id := range e.Leaving {
+		if r, ok := s.runners[id]; ok {
+			r.leaving = true
+		}
+	}
+}
+
+// fleetServices returns the services in the order of the configuration.
+func (s *State) fleetServices() []service.Service {
+	if s.fleet == nil {
+		return nil
+	}
+	return s.fleet.Services
+}
--- /dev/null
+++ b/core/entry/event.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"time"
+
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+)
+
+// RequestID names a request at one entry. The low half is an index that is
+// used again once the request has ended, the high half tells its uses apart.
+type RequestID uint64
+
+// NewRequestID joins an index and its generation.
+func NewRequestID(index, generation uint32) RequestID {
+	return RequestID(generation)<<32 | RequestID(index)
+}
+
+// Index returns the part that is used again.
+func (id RequestID) Index() uint32 { return uint32(id) }
+
+// Event is something that happened outside the reducer.
+type Event interface {
+	// Stamp sets when the event is reduced, and a random number for the decision.
+	Stamp(at time.Time, random uint64)
+}
+
+// Meta is the part that all events share.
+type Meta struct {
+	At     time.Time
+	Random uint64
+}
+
+// Stamp implements Event.
+func (m *Meta) Stamp(at time.Time, random uint64) {
+	m.At = at
+	m.Random = random
+}
+
+// Configured brings a configuration. One that is not newer is ignored.
+type Configured struct {
+	Meta
+	Fleet *fleet.Fleet
+}
+
+// Listed brings the platform's list of leaving runners.
+type Listed struct {
+	Meta
+	Leaving []runner.ID
+}
+
+// Arrived asks for a request to be run.
+type Arrived struct {
+	Meta
+	Request    RequestID
+	Service    service.ID
+	Urgency    service.Urgency
+	Idempotent bool
+	Deadline   time.Time
+}
+
+// AnswerStarted says that the head of an answer came that is too large to be
+// held, so that it has to be passed on while it comes.
+type AnswerStarted struct {
+	Meta
+	Request RequestID
+	Attempt int
+}
+
+// Result is how an attempt ended.
+type Result uint8
+
+const (
+	// NotSent means that no byte of the request left.
+	NotSent Result = iota
+	// Broken means that a byte may have left and the answer is not whole.
+	Broken
+	// TimedOut means that a byte may have left and the deadline passed.
+	TimedOut
+	// Succeeded means a whole answer that does not blame the runner.
+	Succeeded
+	// Failed means a whole answer that says that the runner is unwell (500, 502 to 504).
+	Failed
+)
+
+// AttemptEnded says how an attempt ended.
+type AttemptEnded struct {
+	Meta
+	Request RequestID
+	Attempt int
+	Result  Result
+	// Consumed says that a part of the request's body is gone, so that the
+	// request cannot be sent again.
+	Consumed bool
+}
+
+// CallerLeft says that the caller has closed its connection.
+type CallerLeft struct {
+	Meta
+	Request RequestID
+}
+
+// DeadlinePassed says that a request has reached its deadline.
+type DeadlinePassed struct {
+	Meta
+	Request RequestID
+}
+
+// Delivered says whether the answer was handed to the caller as a whole.
+type Delivered struct {
+	Meta
+	Request RequestID
+	Whole   bool
+}
+
+// ProbeEnded says whether a runner answered a probe well.
+type ProbeEnded struct {
+	Meta
+	Runner runner.ID
+	OK     bool
+}
+
+// Ticked lets time pass.
+type Ticked struct {
+	Meta
+}
+
+// Stopping says that the entry shall take no more requests.
+type Stopping struct {
+	Meta
+}
--- /dev/null
+++ b/core/entry/state.go
@@ -0,0 +1,172 @@
+// Package entry is the reducer of an entry instance.
+//
+// State.Reduce takes one event and returns effects as data. It does no I/O,
+// reads no clock, draws no random number and starts no goroutine: time and
+// random numbers arrive in events. The daemon, the tests and the experiments
+// run the same reducer.
+//
+// Everything about a request is decided here, in one place: which runner it
+// goes to, how long it waits, whether it is sent again, and which of deadline,
+// caller, dispatch and answer came first.
+//
+// # Usage
+//
+//	state := entry.New("entry-1")
+//	effects = state.Reduce(&entry.Configured{Fleet: f}, effects[:0])
+//	effects = state.Reduce(&entry.Arrived{Request: id, Service: "seats"}, effects[:0])
+//	for _, effect := range effects {
+//		// carry it out, and report what happened as further events
+//	}
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"bronzestair/core/fleet"
+	"bronzestair/core/queue"
+	"bronzestair/core/retry"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/slot"
+)
+
+// State is everything that an entry knows. It is not safe for concurrent use.
+type State struct {
+	self     fleet.EntryID
+	picker   runner.Picker
+	fleet    *fleet.Fleet
+	services map[service.ID]*serviceState
+	runners  map[runner.ID]*runnerState
+	requests []request
+	active   int
+	stopping bool
+	now      time.Time
+	random   uint64
+	effects  []Effect
+}
+
+// serviceState is what the entry knows of one service.
+type serviceState struct {
+	config  service.Service
+	runners []*runnerState
+	loads   []runner.Load
+	queue   *queue.Queue
+	retries retry.Budget
+	// latency is the smoothed time of a whole answer, in nanoseconds.
+	latency float64
+}
+
+// runnerState is what the entry knows of one runner.
+type runnerState struct {
+	config  runner.Runner
+	service *serviceState
+	ledger  slot.Ledger
+	health  runner.Health
+	// connectionShare bounds this entry's requests in flight.
+	connectionShare int
+	leaving         bool
+	latency         float64
+}
+
+// New returns the state of an entry that has no configuration yet.
+func New(self fleet.EntryID, options ...Option) *State {
+	s := &State{
+		self:     self,
+		picker:   runner.TwoChoices{},
+		services: map[service.ID]*serviceState{},
+		runners:  map[runner.ID]*runnerState{},
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Option changes a default of New.
+type Option func(*State)
+
+// WithPicker sets how a runner is chosen.
+func WithPicker(p runner.Picker) Option { return func(s *State) { s.picker = p } }
+
+// Reduce applies one event and appends the effects that follow from it.
+func (s *State) Reduce(event Event, effects []Effect) []Effect {
+	s.effects = effects
+	switch e := event.(type) {
+	case *Arrived:
+		s.begin(e.Meta)
+		s.arrived(e)
+	case *AnswerStarted:
+		s.begin(e.Meta)
+		s.answerStarted(e)
+	case *AttemptEnded:
+		s.begin(e.Meta)
+		s.attemptEnded(e)
+	case *Delivered:
+		s.begin(e.Meta)
+		s.delivered(e)
+	case *CallerLeft:
+		s.begin(e.Meta)
+		s.callerLeft(e)
+	case *DeadlinePassed:
+		s.begin(e.Meta)
+		s.deadlinePassed(e)
+	case *Configured:
+		s.begin(e.Meta)
+		s.configured(e)
+	case *Listed:
+		s.begin(e.Meta)
+		s.listed(e)
+	case *ProbeEnded:
+		s.begin(e.Meta)
+		s.probeEnded(e)
+	case *Ticked:
+		s.begin(e.Meta)
+		s.ticked()
+	case *Stopping:
+		s.begin(e.Meta)
+		s.stopping = true
+		s.checkStopped()
+	default:
+		panic(fmt.Sprintf("event %T has no case in the reducer", event))
+	}
+	out := s.effects
+	s.effects = nil
+	return out
+}
+
+// begin takes time and randomness from an event. Time never goes back.
+func (s *State) begin(m Meta) {
+	if m.At.After(s.now) {
+		s.now = m.At
+	}
+	s.random = m.Random
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// Active returns the number of requests that have not ended.
+func (s *State) Active() int { return s.active }
+
+// Version returns the version of the configuration in force, 0 for none.
+func (s *State) Version() fleet.Version {
+	if s.fleet == nil {
+		return 0
+	}
+	return s.fleet.Version
+}
+
+// Service returns the configuration of a service.
+func (s *State) Service(id service.ID) (service.Service, bool) {
+	svc, ok := s.services[id]
+	if !ok {
+		return service.Service{}, false
+	}
+	return svc.config, true
+}
+
+func (s *State) checkStopped() {
+	if s.stopping && s.active == 0 {
+		s.emit(Effect{Kind: Stopped})
+	}
+}
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,142 @@
+// Package fleet is the configuration that all entries share.
+//
+// # Usage
+//
+//	if err := f.Check(); err != nil {
+//		// refuse the configuration
+//	}
+//	runners := f.RunnersOf(service)
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/slot"
+)
+
+// Version numbers configurations. A higher one replaces a lower one.
+type Version uint64
+
+// EntryID names an entry instance.
+type EntryID string
+
+// Entry is an entry instance and where its peers reach it.
+type Entry struct {
+	ID          EntryID           `json:"id"`
+	PeerAddress netip.AddrPort    `json:"peerAddress"`
+	DataCentre  runner.DataCentre `json:"dataCentre,omitempty"`
+}
+
+// Fleet is a whole configuration.
+type Fleet struct {
+	Version  Version           `json:"version"`
+	Entries  []Entry           `json:"entries"`
+	Services []service.Service `json:"services"`
+	Runners  []runner.Runner   `json:"runners"`
+}
+
+// EntryIDs returns the ids of all entries.
+func (f *Fleet) EntryIDs() []EntryID {
+	ids := make([]EntryID, len(f.Entries))
+	for i, e := range f.Entries {
+		ids[i] = e.ID
+	}
+	return ids
+}
+
+// RunnersOf returns the runners that a service draws on.
+func (f *Fleet) RunnersOf(s service.Service) []runner.Runner {
+	var out []runner.Runner
+	for _, r := range f.Runners {
+		if r.Pool == s.Pool {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Check returns every fault of the configuration, joined, nil if there is none.
+func (f *Fleet) Check() error {
+	var errs []error
+	errs = append(errs, f.checkEntries()...)
+	errs = append(errs, f.checkServices()...)
+	errs = append(errs, f.checkRunners()...)
+	return errors.Join(errs...)
+}
+
+func (f *Fleet) checkEntries() []error {
+	var errs []error
+	seen := map[EntryID]bool{}
+	if len(f.Entries) == 0 {
+		errs = append(errs, errors.New("fleet has no entries"))
+	}
+	for i, e := range f.Entries {
+		if e.ID == "" {
+			errs = append(errs, fmt.Errorf("entries[%d] has no id", i))
+		}
+		if seen[e.ID] {
+			errs = append(errs, fmt.Errorf("entry %q stands twice", e.ID))
+		}
+		if !e.PeerAddress.IsValid() {
+			errs = append(errs, fmt.Errorf("entry %q has no peerAddress", e.ID))
+		}
+		seen[e.ID] = true
+	}
+	return errs
+}
+
+func (f *Fleet) checkServices() []error {
+	var errs []error
+	seen := map[service.ID]bool{}
+	poolOwner := map[service.PoolID]service.ID{}
+	for i, s := range f.Services {
+		if s.ID == "" || s.Pool == "" {
+			errs = append(errs, fmt.Errorf("services[%d] needs an id and a pool", i))
+			continue
+		}
+		if seen[s.ID] {
+			errs = append(errs, fmt.Errorf("service %q stands twice", s.ID))
+		}
+		if owner, ok := poolOwner[s.Pool]; ok && owner != s.ID {
+			errs = append(errs, fmt.Errorf("pool %q already serves %q, so %q cannot draw on it", s.Pool, owner, s.ID))
+		}
+		if s.DefaultTimeout() > s.LongestTimeout() {
+			errs = append(errs, fmt.Errorf("service %q has a timeout of %v over its maxTimeout of %v", s.ID, s.DefaultTimeout(), s.LongestTimeout()))
+		}
+		if s.QueueLength < 0 || s.MaxAttempts < 0 {
+			errs = append(errs, fmt.Errorf("service %q has a negative queueLength or maxAttempts", s.ID))
+		}
+		seen[s.ID] = true
+		poolOwner[s.Pool] = s.ID
+	}
+	return errs
+}
+
+func (f *Fleet) checkRunners() []error {
+	var errs []error
+	pools := map[service.PoolID]bool{}
+	for _, s := range f.Services {
+		pools[s.Pool] = true
+	}
+	seen := map[runner.ID]bool{}
+	for _, r := range f.Runners {
+		if err := r.Check(slot.Max); err != nil {
+			errs = append(errs, err)
+		}
+		if seen[r.ID] {
+			errs = append(errs, fmt.Errorf("runner %q is in two places", r.ID))
+		}
+		if !pools[r.Pool] {
+			errs = append(errs, fmt.Errorf("runner %q is in pool %q, on which no service draws", r.ID, r.Pool))
+		}
+		if r.ConnectionShare(len(f.Entries)) < 1 {
+			errs = append(errs, fmt.Errorf("runner %q has fewer connections than there are entries", r.ID))
+		}
+		seen[r.ID] = true
+	}
+	return errs
+}
--- /dev/null
+++ b/core/queue/queue.go
@@ -0,0 +1,128 @@
+// Package queue holds the requests of a service that wait for a slot.
+//
+// A queue is bounded. It yields the most urgent request first, among equals
+// the one with the earliest deadline, then the one that came first.
+//
+// # Usage
+//
+//	q := queue.New(256)
+//	displaced, ok := q.Push(queue.Item{Request: 1, Deadline: deadline})
+//	item, ok := q.Pop()
+package queue
+
+import (
+	"container/heap"
+	"time"
+
+	"bronzestair/core/service"
+)
+
+// Item is a waiting request.
+type Item struct {
+	Request  uint64
+	Urgency  service.Urgency
+	Deadline time.Time
+	arrival  uint64
+}
+
+// before reports whether a is served before b.
+func (a Item) before(b Item) bool {
+	if a.Urgency != b.Urgency {
+		return a.Urgency < b.Urgency
+	}
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.arrival < b.arrival
+}
+
+// Queue is a bounded priority queue. The zero value takes no item.
+type Queue struct {
+	items    itemHeap
+	limit    int
+	arrivals uint64
+}
+
+// New returns an empty queue that holds at most limit items.
+func New(limit int) *Queue { return &Queue{limit: limit} }
+
+// Len returns the number of waiting items.
+func (q *Queue) Len() int { return len(q.items) }
+
+// SetLimit changes the bound. Items over the new bound stay.
+func (q *Queue) SetLimit(limit int) { q.limit = limit }
+
+// Push adds an item. When the queue is full, the item that would be served
+// last makes room: it comes back as displaced. It is the pushed item itself
+// if none waits that is less urgent; added is false then.
+func (q *Queue) Push(item Item) (displaced Item, full, added bool) {
+	q.arrivals++
+	item.arrival = q.arrivals
+	if len(q.items) < q.limit {
+		heap.Push(&q.items, item)
+		return Item{}, false, true
+	}
+	last := q.last()
+	if last < 0 || item.Urgency >= q.items[last].Urgency {
+		return item, true, false
+	}
+	displaced = heap.Remove(&q.items, last).(Item)
+	heap.Push(&q.items, item)
+	return displaced, true, true
+}
+
+// Pop removes the item to serve next.
+func (q *Queue) Pop() (Item, bool) {
+	if len(q.items) == 0 {
+		return Item{}, false
+	}
+	return heap.Pop(&q.items).(Item), true
+}
+
+// Remove takes a request out wherever it waits.
+func (q *Queue) Remove(request uint64) bool {
+	for i := range q.items {
+		if q.items[i].Request == request {
+			heap.Remove(&q.items, i)
+			return true
+		}
+	}
+	return false
+}
+
+// Ahead returns how many waiting items would be served before item.
+func (q *Queue) Ahead(item Item) int {
+	item.arrival = q.arrivals + 1
+	n := 0
+	for i := range q.items {
+		if q.items[i].before(item) {
+			n++
+		}
+	}
+	return n
+}
+
+// last returns the index of the item to be served last, -1 if there is none.
+func (q *Queue) last() int {
+	last := -1
+	for i := range q.items {
+		if last < 0 || q.items[last].before(q.items[i]) {
+			last = i
+		}
+	}
+	return last
+}
+
+type itemHeap []Item
+
+func (h itemHeap) Len() int           { return len(h) }
+func (h itemHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h itemHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *itemHeap) Push(x any)        { *h = append(*h, x.(Item)) }
+func (h *itemHeap) Pop() any {
+	old := *h
+	n := len(old) - 1
+	item := old[n]
+	*h = old[:n]
+	return item
+}
--- /dev/null
+++ b/directory.go
@@ -0,0 +1,74 @@
+package bronzestair
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+)
+
+// directory answers questions about the configuration in force without a lock.
+type directory struct {
+	current atomic.Pointer[directoryIndex]
+}
+
+type directoryIndex struct {
+	version  fleet.Version
+	services map[service.ID]service.Service
+	runners  map[runner.ID]netip.AddrPort
+}
+
+// set puts a configuration in force, unless a newer one is.
+func (d *directory) set(f *fleet.Fleet) bool {
+	next := &directoryIndex{
+		version:  f.Version,
+		services: make(map[service.ID]service.Service, len(f.Services)),
+		runners:  make(map[runner.ID]netip.AddrPort, len(f.Runners)),
+	}
+	for _, s := range f.Services {
+		next.services[s.ID] = s
+	}
+	for _, r := range f.Runners {
+		next.runners[r.ID] = r.Address
+	}
+	for {
+		old := d.current.Load()
+		if old != nil && old.version >= next.version {
+			return false
+		}
+		if d.current.CompareAndSwap(old, next) {
+			return true
+		}
+	}
+}
+
+// version returns the version in force, 0 for none.
+func (d *directory) version() fleet.Version {
+	index := d.current.Load()
+	if index == nil {
+		return 0
+	}
+	return index.version
+}
+
+// Service implements caller.Directory.
+func (d *directory) Service(id service.ID) (service.Service, bool) {
+	index := d.current.Load()
+	if index == nil {
+		return service.Service{}, false
+	}
+	s, ok := index.services[id]
+	return s, ok
+}
+
+// RunnerAddress implements caller.Directory.
+func (d *directory) RunnerAddress(id runner.ID) (netip.AddrPort, bool) {
+	index := d.current.Load()
+	if index == nil {
+		return netip.AddrPort{}, false
+	}
+	a, ok := index.runners[id]
+	return a, ok
+}
--- /dev/null
+++ b/io/backend/client.go
@@ -0,0 +1,332 @@
+// Package backend sends requests to backend servers over HTTP/1.1.
+//
+// Each connection carries one request at a time, and is used again only after
+// the whole answer was read. The client never sends a request twice by itself.
+// Every failure says whether a byte of the request may have left.
+//
+// # Usage
+//
+//	client := backend.NewClient()
+//	answer, err := client.Send(ctx, backend.Attempt{Address: address, Request: req, Deadline: deadline})
+//	if err != nil {
+//		v := backend.VerdictOf(err)
+//	}
+//	defer answer.Close()
+package backend
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"bronzestair/core/verdict"
+)
+
+const (
+	defaultConnectTimeout = 1 * time.Second
+	defaultIdleTimeout    = 20 * time.Second
+	defaultMaxIdle        = 9
+	defaultHeldBytes      = 64 << 10
+	maxInterimAnswers     = 8
+)
+
+// Attempt is one try to have a request run.
+type Attempt struct {
+	Address netip.AddrPort
+	// Request is the head to send, with ContentLength set, -1 for chunked. Its
+	// Body is not used.
+	Request *http.Request
+	// Body is sent before the answer is read, if Stream is nil.
+	Body []byte
+	// Stream is sent while the answer is awaited.
+	Stream io.Reader
+	// StopStream makes a pending read of Stream return.
+	StopStream func()
+	// Deadline ends the attempt.
+	Deadline time.Time
+	// NotAfter is the last moment at which the first byte may leave, zero for any.
+	NotAfter time.Time
+}
+
+// Answer is the answer of a runner.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Held is the whole body, or its beginning if Whole is false.
+	Held []byte
+	// Whole says that the body has been read to its proven end.
+	Whole bool
+
+	response *http.Response
+	conn     *conn
+	pool     *pool
+	upload   *upload
+}
+
+// Copy passes the rest of a body on that is not whole. An error from the
+// runner's side means that the answer was cut off; one from w is returned as is.
+func (a *Answer) Copy(w io.Writer) error {
+	if a.Whole {
+		return nil
+	}
+	buffer := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+	_, err := io.CopyBuffer(writerOnly{w}, readerOnly{a.response.Body}, *buffer)
+	if err != nil {
+		return err
+	}
+	a.Whole = true
+	return nil
+}
+
+// Close lets go of the connection: back to its pool after a whole answer,
+// closed otherwise.
+func (a *Answer) Close() {
+	if a.conn == nil {
+		return
+	}
+	sent := a.upload.finished()
+	if a.Whole && sent && !a.response.Close && a.conn.reader.Buffered() == 0 {
+		a.pool.put(a.conn)
+	} else {
+		a.conn.Close()
+		a.upload.wait()
+	}
+	a.conn = nil
+}
+
+type writerOnly struct{ io.Writer }
+
+type readerOnly struct{ io.Reader }
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, 32<<10)
+	return &b
+}}
+
+// Error is a failed attempt.
+type Error struct {
+	// Verdict is NotRun or MayHaveRun.
+	Verdict verdict.Verdict
+	// Timeout says that the deadline passed.
+	Timeout bool
+	cause   error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return "backend: " + e.Verdict.String() + ": " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// VerdictOf returns the verdict of a failed attempt. An error of unknown
+// origin is MayHaveRun.
+func VerdictOf(err error) verdict.Verdict {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return verdict.MayHaveRun
+}
+
+// IsTimeout reports whether the deadline ended the attempt.
+func IsTimeout(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Timeout
+}
+
+// Client sends attempts. Use NewClient.
+type Client struct {
+	connectTimeout time.Duration
+	idleTimeout    time.Duration
+	maxIdle        int
+	heldBytes      int
+
+	mu    sync.RWMutex
+	pools map[netip.AddrPort]*pool
+}
+
+// Option changes a default of NewClient.
+type Option func(*Client)
+
+// WithConnectTimeout bounds the time to connect.
+func WithConnectTimeout(d time.Duration) Option { return func(c *Client) { c.connectTimeout = d } }
+
+// WithMaxIdle bounds the idle connections to one runner.
+func WithMaxIdle(n int) Option { return func(c *Client) { c.maxIdle = n } }
+
+// NewClient returns a client with no connections.
+func NewClient(options ...Option) *Client {
+	c := &Client{
+		connectTimeout: defaultConnectTimeout,
+		idleTimeout:    defaultIdleTimeout,
+		maxIdle:        defaultMaxIdle,
+		heldBytes:      defaultHeldBytes,
+		pools:          map[netip.AddrPort]*pool{},
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, p := range c.pools {
+		p.closeIdle()
+	}
+}
+
+func (c *Client) pool(address netip.AddrPort) *pool {
+	c.mu.RLock()
+	p, ok := c.pools[address]
+	c.mu.RUnlock()
+	if ok {
+		return p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.pools[address]; ok {
+		return p
+	}
+	p = &pool{
+		address: address,
+		dialer:  net.Dialer{Timeout: c.connectTimeout},
+		maxIdle: c.maxIdle,
+		idleFor: c.idleTimeout,
+	}
+	c.pools[address] = p
+	return p
+}
+
+// Send carries out one attempt. It returns once the head of the answer came,
+// and the body as far as it can be held. Every error is an *Error.
+func (c *Client) Send(ctx context.Context, a Attempt) (*Answer, error) {
+	p := c.pool(a.Address)
+	cn, err := c.connect(ctx, p, a)
+	if err != nil {
+		return nil, failure(verdict.NotRun, err)
+	}
+	if !a.NotAfter.IsZero() && !time.Now().Before(a.NotAfter) {
+		p.put(cn)
+		return nil, failure(verdict.NotRun, merry.Errorf("the slot's term ended at %v", a.NotAfter))
+	}
+	up, err := send(cn, a)
+	if err != nil {
+		return nil, broken(cn, up, err)
+	}
+	response, err := readAnswer(cn, a.Request)
+	if err != nil {
+		return nil, broken(cn, up, err)
+	}
+	answer := &Answer{
+		Status: response.StatusCode, Header: response.Header,
+		response: response, conn: cn, pool: p, upload: up,
+	}
+	if err := c.hold(answer); err != nil {
+		return nil, broken(cn, up, err)
+	}
+	return answer, nil
+}
+
+func (c *Client) connect(ctx context.Context, p *pool, a Attempt) (*conn, error) {
+	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
+	defer cancel()
+	cn, err := p.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := cn.SetDeadline(a.Deadline); err != nil {
+		cn.Close()
+		return nil, err
+	}
+	return cn, nil
+}
+
+// readAnswer reads the head of the final answer.
+func readAnswer(cn *conn, request *http.Request) (*http.Response, error) {
+	for range maxInterimAnswers {
+		response, err := http.ReadResponse(cn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= 200 {
+			return response, checkEnd(response)
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, merry.New("the backend server switched protocols unasked")
+		}
+	}
+	return nil, merry.Errorf("the backend server sent %d interim answers", maxInterimAnswers)
+}
+
+// checkEnd refuses an answer whose end cannot be told from a cut.
+func checkEnd(response *http.Response) error {
+	if response.Body == http.NoBody {
+		return nil
+	}
+	chunked := len(response.TransferEncoding) > 0
+	if response.ContentLength < 0 && !chunked {
+		return merry.New("the answer has neither a length nor chunks, so that its end cannot be checked")
+	}
+	return nil
+}
+
+// hold reads the body as far as it can be held.
+func (c *Client) hold(a *Answer) error {
+	if a.response.Body == http.NoBody {
+		a.Whole = true
+		return nil
+	}
+	length := a.response.ContentLength
+	if length > int64(c.heldBytes) {
+		return nil
+	}
+	if length >= 0 {
+		a.Held = make([]byte, length)
+		if _, err := io.ReadFull(a.response.Body, a.Held); err != nil {
+			return err
+		}
+		a.Whole = true
+		return nil
+	}
+	var held bytes.Buffer
+	n, err := io.CopyN(&held, a.response.Body, int64(c.heldBytes))
+	a.Held = held.Bytes()
+	if err == io.EOF {
+		a.Whole = true
+		return nil
+	}
+	if err == nil && n == int64(c.heldBytes) {
+		return nil
+	}
+	return err
+}
+
+func broken(cn *conn, up *upload, err error) error {
+	cn.Close()
+	up.wait()
+	v := verdict.NotRun
+	if cn.written > 0 {
+		v = verdict.MayHaveRun
+	}
+	return failure(v, err)
+}
+
+func failure(v verdict.Verdict, cause error) error {
+	timeout := errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded)
+	return &Error{Verdict: v, Timeout: timeout, cause: merry.Wrap(cause, merry.NoCaptureStack())}
+}
--- /dev/null
+++ b/io/backend/conn.go
@@ -0,0 +1,61 @@
+package backend
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	readBufferSize  = 4 << 10 // bytes
+	writeBufferSize = 4 << 10 // bytes
+)
+
+// conn is a connection to a runner that knows whether bytes have left on it.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// written counts the bytes of the request at hand that the kernel took.
+	written int64
+	reused  bool
+	idleAt  time.Time
+	raw     syscall.RawConn
+}
+
+func newConn(c net.Conn) *conn {
+	out := &conn{Conn: c}
+	out.reader = bufio.NewReaderSize(c, readBufferSize)
+	out.writer = bufio.NewWriterSize(out, writeBufferSize)
+	if sc, ok := c.(syscall.Conn); ok {
+		out.raw, _ = sc.SyscallConn()
+	}
+	return out
+}
+
+// Write counts what the kernel took.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// quiet reports whether an idle connection is open and has nothing to read. A
+// runner that closed it, or that sent bytes nobody asked for, makes it useless.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errno == syscall.EAGAIN || errno == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/io/backend/pool.go
@@ -0,0 +1,82 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// pool keeps the idle connections to one runner.
+type pool struct {
+	address netip.AddrPort
+	dialer  net.Dialer
+	maxIdle int
+	idleFor time.Duration
+
+	mu   sync.Mutex
+	idle []*conn
+}
+
+// get returns an idle connection that is still good, or a new one.
+func (p *pool) get(ctx context.Context) (*conn, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleAt) < p.idleFor && c.quiet() {
+			c.reused = true
+			c.written = 0
+			return c, nil
+		}
+		c.Close()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", p.address.String())
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw), nil
+}
+
+func (p *pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (p *pool) put(c *conn) {
+	if c.SetDeadline(time.Time{}) != nil {
+		c.Close()
+		return
+	}
+	c.idleAt = time.Now()
+	p.mu.Lock()
+	full := len(p.idle) >= p.maxIdle
+	if !full {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if full {
+		c.Close()
+	}
+}
+
+// closeIdle closes all idle connections.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/io/caller/body.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+)
+
+// heldBodyBytes is the most of a request's body that an entry holds.
+const heldBodyBytes = 64 << 10
+
+// body is the body of a request: held as a whole, or a stream that begins
+// with the held part.
+type body struct {
+	held   []byte
+	stream *countingReader
+	length int64
+}
+
+// countingReader knows whether a body was touched.
+type countingReader struct {
+	io.Reader
+	read int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.read += int64(n)
+	return n, err
+}
+
+// consumed reports whether a part of the body is gone.
+func (b *body) consumed() bool { return b.stream != nil && b.stream.read > 0 }
+
+// readBody holds a small body and prepares the stream of a large one.
+func readBody(r *http.Request, limit int64) (body, *problem) {
+	b := body{length: r.ContentLength}
+	switch {
+	case r.ContentLength > limit:
+		return b, newProblem(http.StatusRequestEntityTooLarge, "body has %d bytes, over %d", r.ContentLength, limit)
+	case r.ContentLength == 0:
+		return b, nil
+	case r.ContentLength > heldBodyBytes:
+		b.stream = &countingReader{Reader: r.Body}
+		return b, nil
+	case r.ContentLength > 0:
+		b.held = make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, b.held)
+		return b, readProblem(err)
+	}
+	return readChunked(r, b)
+}
+
+// readChunked reads a body of unknown length.
+func readChunked(r *http.Request, b body) (body, *problem) {
+	var held bytes.Buffer
+	_, err := io.CopyN(&held, r.Body, heldBodyBytes)
+	if err == io.EOF {
+		b.held = held.Bytes()
+		b.length = int64(held.Len())
+		return b, nil
+	}
+	if err != nil {
+		return b, readProblem(err)
+	}
+	b.stream = &countingReader{Reader: io.MultiReader(&held, r.Body)}
+	return b, nil
+}
+
+// readProblem returns the document for a body that did not come whole.
+func readProblem(err error) *problem {
+	if err == nil {
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return newProblem(http.StatusRequestEntityTooLarge, "body has more than %d bytes", tooLarge.Limit)
+	}
+	return badRequest("body did not come whole: %v", err)
+}
--- /dev/null
+++ b/io/caller/exchange.go
@@ -0,0 +1,100 @@
+package caller
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"bronzestair/core/entry"
+	"bronzestair/io/backend"
+)
+
+// effectBacklog is the most effects that wait for one exchange: the reducer
+// sends at most two before it hears from the exchange again.
+const effectBacklog = 4
+
+// exchange is one request of a caller, from its head to the end of the answer.
+type exchange struct {
+	call    call
+	id      entry.RequestID
+	effects chan entry.Effect
+
+	arrived   entry.Arrived
+	started   entry.AnswerStarted
+	attempted entry.AttemptEnded
+	done      entry.Delivered
+
+	request  *http.Request
+	body     body
+	deadline time.Time
+	// answer is the whole answer of the last attempt.
+	answer *backend.Answer
+	// stopped says that the entry stopped reading the request's body.
+	stopped bool
+}
+
+// exchanges finds the exchange that an effect is for.
+type exchanges struct {
+	mu    sync.Mutex
+	slots []exchangeSlot
+	free  []uint32
+}
+
+type exchangeSlot struct {
+	exchange   *exchange
+	generation uint32
+}
+
+var exchangePool = sync.Pool{New: func() any {
+	return &exchange{effects: make(chan entry.Effect, effectBacklog)}
+}}
+
+// open returns a new exchange with an id of its own.
+func (t *exchanges) open() *exchange {
+	ex := exchangePool.Get().(*exchange)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var index uint32
+	if n := len(t.free); n > 0 {
+		index = t.free[n-1]
+		t.free = t.free[:n-1]
+	} else {
+		index = uint32(len(t.slots))
+		t.slots = append(t.slots, exchangeSlot{})
+	}
+	s := &t.slots[index]
+	s.generation++
+	s.exchange = ex
+	ex.id = entry.NewRequestID(index, s.generation)
+	return ex
+}
+
+// close forgets an exchange. No effect reaches it any more.
+func (t *exchanges) close(ex *exchange) {
+	t.mu.Lock()
+	index := ex.id.Index()
+	t.slots[index].exchange = nil
+	t.free = append(t.free, index)
+	t.mu.Unlock()
+	effects := ex.effects
+	for len(effects) > 0 {
+		<-effects
+	}
+	*ex = exchange{effects: effects}
+	exchangePool.Put(ex)
+}
+
+// find returns the exchange of a request, nil if it is gone.
+func (t *exchanges) find(id entry.RequestID) *exchange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	index := int(id.Index())
+	if index >= len(t.slots) {
+		return nil
+	}
+	ex := t.slots[index].exchange
+	if ex == nil || ex.id != id {
+		return nil
+	}
+	return ex
+}
--- /dev/null
+++ b/io/caller/header.go
@@ -0,0 +1,197 @@
+package caller
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"bronzestair/core/book"
+	"bronzestair/core/service"
+)
+
+// The headers that callers and entries exchange.
+const (
+	// HeaderVerdict carries the verdict of every answer: notRun, answered or mayHaveRun.
+	HeaderVerdict = "Bronzestair-Verdict"
+	// HeaderTimeout carries how long a caller waits, such as 1.5s.
+	HeaderTimeout = "Bronzestair-Timeout"
+	// HeaderUrgency carries urgent, normal or batch.
+	HeaderUrgency = "Bronzestair-Urgency"
+	// HeaderCaller carries the caller's name, where the settings trust it.
+	HeaderCaller = "Bronzestair-Caller"
+	// HeaderDeadline carries the deadline to the backend server, in RFC 3339 form.
+	HeaderDeadline = "Bronzestair-Deadline"
+	// HeaderKey carries the idempotency key.
+	HeaderKey = "Idempotency-Key"
+)
+
+const (
+	maxKeyLength    = 128 // characters
+	maxCallerLength = 64  // characters
+	anonymous       = book.Caller("anonymous")
+)
+
+// call is what a caller asks for, as its head says.
+type call struct {
+	service    service.ID
+	path       string
+	urgency    service.Urgency
+	idempotent bool
+	key        book.Key
+	caller     book.Caller
+	timeout    time.Duration
+}
+
+// parseCall reads the head of a request.
+func parseCall(r *http.Request, trustCaller bool) (call, *problem) {
+	c := call{caller: anonymous}
+	if p := c.parsePath(r); p != nil {
+		return c, p
+	}
+	if p := c.parseMethod(r); p != nil {
+		return c, p
+	}
+	if p := c.parseKey(r.Header); p != nil {
+		return c, p
+	}
+	if p := c.parseTimeout(r.Header); p != nil {
+		return c, p
+	}
+	if p := c.parseUrgency(r.Header); p != nil {
+		return c, p
+	}
+	if trustCaller {
+		return c, c.parseCaller(r.Header)
+	}
+	return c, nil
+}
+
+func (c *call) parsePath(r *http.Request) *problem {
+	escaped := r.URL.EscapedPath()
+	if !strings.HasPrefix(escaped, "/") {
+		return badRequest("path %q does not start with a slash", escaped)
+	}
+	name, rest, _ := strings.Cut(escaped[1:], "/")
+	if name == "" {
+		return badRequest("path %q names no service", escaped)
+	}
+	c.service = service.ID(name)
+	c.path = "/" + rest
+	return nil
+}
+
+func (c *call) parseMethod(r *http.Request) *problem {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions:
+		c.idempotent = true
+	case http.MethodPost, http.MethodPatch:
+		c.idempotent = false
+	default:
+		return newProblem(http.StatusMethodNotAllowed, "method %q is not served", r.Method)
+	}
+	return nil
+}
+
+func (c *call) parseKey(h http.Header) *problem {
+	value, p := single(h, HeaderKey)
+	if p != nil {
+		return p
+	}
+	if value == "" {
+		if !c.idempotent {
+			return badRequest("header %s is missing: this method is not idempotent", HeaderKey)
+		}
+		return nil
+	}
+	if len(value) > maxKeyLength {
+		return badRequest("header %s has %d characters, over %d", HeaderKey, len(value), maxKeyLength)
+	}
+	if !visible(value) {
+		return badRequest("header %s has characters other than visible ASCII", HeaderKey)
+	}
+	c.key = book.Key(value)
+	return nil
+}
+
+func (c *call) parseTimeout(h http.Header) *problem {
+	value, p := single(h, HeaderTimeout)
+	if p != nil || value == "" {
+		return p
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 {
+		return badRequest("header %s is %q, not a positive time such as 1.5s", HeaderTimeout, value)
+	}
+	c.timeout = d
+	return nil
+}
+
+func (c *call) parseUrgency(h http.Header) *problem {
+	value, p := single(h, HeaderUrgency)
+	if p != nil || value == "" {
+		return p
+	}
+	if err := c.urgency.UnmarshalText([]byte(value)); err != nil {
+		return badRequest("header %s: %v", HeaderUrgency, err)
+	}
+	return nil
+}
+
+func (c *call) parseCaller(h http.Header) *problem {
+	value, p := single(h, HeaderCaller)
+	if p != nil || value == "" {
+		return p
+	}
+	if len(value) > maxCallerLength || !visible(value) {
+		return badRequest("header %s is not 1 to %d visible ASCII characters", HeaderCaller, maxCallerLength)
+	}
+	c.caller = book.Caller(value)
+	return nil
+}
+
+// single returns the value of a header that may stand once. h must have
+// canonical keys, as a parsed request has.
+func single(h http.Header, name string) (string, *problem) {
+	values := h[name]
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		if values[0] == "" {
+			return "", badRequest("header %s is empty", name)
+		}
+		return values[0], nil
+	}
+	return "", badRequest("header %s stands %d times", name, len(values))
+}
+
+func visible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// hopHeaders end at each hop (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// copyEndToEnd adds to dst all headers of src that do not end at this hop.
+func copyEndToEnd(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+	for _, value := range src["Connection"] {
+		for _, name := range strings.Split(value, ",") {
+			delete(dst, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(dst, name)
+	}
+}
--- /dev/null
+++ b/io/caller/serve.go
@@ -0,0 +1,320 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"bronzestair/core/entry"
+	"bronzestair/core/verdict"
+	"bronzestair/io/backend"
+)
+
+// deadlineRecheck is when a deadline is reported again that the reducer's clock had not reached.
+const deadlineRecheck = 5 * time.Millisecond
+
+var traceContext propagation.TraceContext
+
+// serve takes one request from its head to the end of its answer.
+func (s *Server) serve(c echo.Context) error {
+	r := c.Request()
+	w := c.Response().Writer
+	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := s.tracer.Start(ctx, "caller.request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+
+	ex := s.exchanges.open()
+	defer s.exchanges.close(ex)
+	if p := s.prepare(ex, w, r); p != nil {
+		return p.write(w)
+	}
+	v := s.run(ctx, ex, w)
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("service", string(ex.call.service)),
+			attribute.String("verdict", v.String()),
+		)
+	}
+	return nil
+}
+
+// prepare reads the request as far as it has to be known before it is decided on.
+func (s *Server) prepare(ex *exchange, w http.ResponseWriter, r *http.Request) *problem {
+	received := time.Now()
+	call, p := parseCall(r, s.trustCaller)
+	if p != nil {
+		return p
+	}
+	svc, ok := s.directory.Service(call.service)
+	if !ok {
+		return newProblem(http.StatusNotFound, "service %q does not exist", call.service)
+	}
+	if call.timeout == 0 {
+		call.timeout = svc.DefaultTimeout()
+	}
+	if call.timeout > svc.LongestTimeout() {
+		return badRequest("header %s is %v, over %v of service %q", HeaderTimeout, call.timeout, svc.LongestTimeout(), svc.ID)
+	}
+	ex.call = call
+	ex.deadline = received.Add(call.timeout)
+	if r.ContentLength != 0 {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(ex.deadline)
+		r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+	}
+	ex.body, p = readBody(r, s.limits.BodyBytes)
+	if p != nil {
+		return p
+	}
+	if ex.body.held != nil {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
+	ex.request = outgoing(r, ex)
+	return nil
+}
+
+// outgoing returns the head that goes to a backend server.
+func outgoing(r *http.Request, ex *exchange) *http.Request {
+	header := make(http.Header, len(r.Header)+4)
+	copyEndToEnd(header, r.Header)
+	delete(header, "Expect")
+	delete(header, "Content-Length")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // An absent key would make the library add its own.
+	}
+	header[HeaderDeadline] = []string{ex.deadline.UTC().Format(time.RFC3339Nano)}
+	header[HeaderCaller] = []string{string(ex.call.caller)}
+	path, err := url.PathUnescape(ex.call.path)
+	if err != nil {
+		path = ex.call.path
+	}
+	return &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Path: path, RawPath: ex.call.path, RawQuery: r.URL.RawQuery},
+		Host:          r.Host,
+		Header:        header,
+		ContentLength: ex.body.length,
+	}
+}
+
+// run submits the request and does what the reducer says until it has ended.
+func (s *Server) run(ctx context.Context, ex *exchange, w http.ResponseWriter) verdict.Verdict {
+	ex.arrived = entry.Arrived{
+		Request:    ex.id,
+		Service:    ex.call.service,
+		Urgency:    ex.call.urgency,
+		Idempotent: ex.call.idempotent,
+		Deadline:   ex.deadline,
+	}
+	s.loop.Submit(&ex.arrived)
+	for {
+		effect := s.await(ctx, ex)
+		switch effect.Kind {
+		case entry.Dispatch:
+			if v, ended := s.attempt(ctx, ex, effect, w); ended {
+				return v
+			}
+		case entry.Deliver:
+			return s.deliver(ex, w)
+		case entry.Refuse:
+			_ = refusal(effect.Reason, effect.Verdict).write(w)
+			return effect.Verdict
+		default:
+			return effect.Verdict
+		}
+	}
+}
+
+// await returns the next effect for the exchange. Meanwhile it reports the
+// deadline and the caller's leaving.
+func (s *Server) await(ctx context.Context, ex *exchange) entry.Effect {
+	select {
+	case effect := <-ex.effects:
+		return effect
+	default:
+	}
+	timer := time.NewTimer(time.Until(ex.deadline))
+	defer timer.Stop()
+	left := ctx.Done()
+	for {
+		select {
+		case effect := <-ex.effects:
+			return effect
+		case <-left:
+			left = nil
+			s.loop.Submit(&entry.CallerLeft{Request: ex.id})
+		case <-timer.C:
+			s.loop.Submit(&entry.DeadlinePassed{Request: ex.id})
+			timer.Reset(deadlineRecheck)
+		}
+	}
+}
+
+// attempt carries out a dispatch and reports how it ended. A streamed answer
+// ends the exchange; otherwise the reducer's next effect says what to do.
+func (s *Server) attempt(ctx context.Context, ex *exchange, effect entry.Effect, w http.ResponseWriter) (v verdict.Verdict, ended bool) {
+	spanCtx, span := s.tracer.Start(ctx, "backend.attempt", trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	traceContext.Inject(spanCtx, propagation.HeaderCarrier(ex.request.Header))
+	answer, err := s.send(ex, effect, w)
+	if err != nil {
+		span.RecordError(err)
+		s.logger.Debug("attempt failed", "service", ex.call.service, "runner", effect.Runner, "error", err)
+		s.reportAttempt(ctx, ex, effect, resultOf(err))
+		return verdict.NotRun, false
+	}
+	defer answer.Close()
+	if !answer.Whole {
+		return s.stream(ctx, ex, effect, answer, w)
+	}
+	answer.Close()
+	ex.answer = answer
+	s.reportAttempt(ctx, ex, effect, resultOfStatus(answer.Status))
+	return verdict.NotRun, false
+}
+
+// send sends one attempt.
+func (s *Server) send(ex *exchange, effect entry.Effect, w http.ResponseWriter) (*backend.Answer, error) {
+	address, ok := s.directory.RunnerAddress(effect.Runner)
+	if !ok {
+		return nil, &backend.Error{Verdict: verdict.NotRun}
+	}
+	attempt := backend.Attempt{
+		Address:  address,
+		Request:  ex.request,
+		Body:     ex.body.held,
+		Deadline: ex.deadline,
+		NotAfter: effect.NotAfter,
+	}
+	if ex.body.stream != nil {
+		control := http.NewResponseController(w)
+		attempt.Stream = ex.body.stream
+		attempt.StopStream = func() {
+			ex.stopped = true
+			_ = control.SetReadDeadline(time.Now())
+		}
+	}
+	// The attempt goes on when the caller leaves: its verdict must be known.
+	return s.sender.Send(context.Background(), attempt)
+}
+
+// reportCaller tells the reducer if the caller has left. A body that the entry
+// itself stopped reading looks the same to the library and does not count.
+func (s *Server) reportCaller(ctx context.Context, ex *exchange) {
+	if ctx.Err() != nil && !ex.stopped {
+		s.loop.Submit(&entry.CallerLeft{Request: ex.id})
+	}
+}
+
+// reportAttempt tells the reducer how an attempt ended.
+func (s *Server) reportAttempt(ctx context.Context, ex *exchange, effect entry.Effect, result entry.Result) {
+	s.reportCaller(ctx, ex)
+	ex.attempted = entry.AttemptEnded{
+		Request:  ex.id,
+		Attempt:  effect.Attempt,
+		Result:   result,
+		Consumed: ex.body.consumed(),
+	}
+	s.loop.Submit(&ex.attempted)
+}
+
+func resultOf(err error) entry.Result {
+	switch {
+	case backend.VerdictOf(err) == verdict.NotRun:
+		return entry.NotSent
+	case backend.IsTimeout(err):
+		return entry.TimedOut
+	default:
+		return entry.Broken
+	}
+}
+
+func resultOfStatus(status int) entry.Result {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return entry.Failed
+	}
+	return entry.Succeeded
+}
+
+// deliver writes a whole answer and reports whether the caller's connection took it.
+func (s *Server) deliver(ex *exchange, w http.ResponseWriter) verdict.Verdict {
+	answer := ex.answer
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(ex.deadline.Add(writeGrace))
+	writeHead(w, answer)
+	_, err := w.Write(answer.Held)
+	if err == nil {
+		err = control.Flush()
+	}
+	return s.reportDelivered(ex, err == nil)
+}
+
+func (s *Server) reportDelivered(ex *exchange, whole bool) verdict.Verdict {
+	ex.done = entry.Delivered{Request: ex.id, Whole: whole}
+	s.loop.Submit(&ex.done)
+	if whole {
+		return verdict.Answered
+	}
+	return verdict.MayHaveRun
+}
+
+// stream passes a large answer on while it comes. A caller whose answer is cut
+// off sees its connection break.
+func (s *Server) stream(ctx context.Context, ex *exchange, effect entry.Effect, answer *backend.Answer, w http.ResponseWriter) (v verdict.Verdict, ended bool) {
+	s.reportCaller(ctx, ex)
+	ex.started = entry.AnswerStarted{Request: ex.id, Attempt: effect.Attempt}
+	s.loop.Submit(&ex.started)
+	if next := <-ex.effects; next.Kind != entry.Deliver {
+		answer.Close()
+		s.reportAttempt(ctx, ex, effect, entry.Broken)
+		return verdict.MayHaveRun, false
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(ex.deadline.Add(writeGrace))
+	writeHead(w, answer)
+	_, err := w.Write(answer.Held)
+	if err == nil {
+		err = answer.Copy(w)
+	}
+	answer.Close()
+	result := resultOfStatus(answer.Status)
+	if !answer.Whole {
+		result = entry.Broken
+	}
+	s.reportAttempt(ctx, ex, effect, result)
+	if err == nil {
+		err = control.Flush()
+	}
+	v = s.reportDelivered(ex, err == nil)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return v, true
+}
+
+// writeHead passes the head of an answer on.
+func writeHead(w http.ResponseWriter, answer *backend.Answer) {
+	h := w.Header()
+	copyEndToEnd(h, answer.Header)
+	h[HeaderVerdict] = []string{verdict.Answered.String()}
+	if answer.Whole && bodyAllowed(answer) {
+		h["Content-Length"] = []string{strconv.Itoa(len(answer.Held))}
+	}
+	w.WriteHeader(answer.Status)
+}
+
+// bodyAllowed reports whether the length of the held body is the length of the answer.
+func bodyAllowed(answer *backend.Answer) bool {
+	if answer.Status == http.StatusNoContent || answer.Status == http.StatusNotModified {
+		return false
+	}
+	return len(answer.Held) > 0 || answer.Header.Get("Content-Length") == ""
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,183 @@
+// Package caller serves callers over HTTP/1.1.
+//
+// The first segment of a path names the service, the rest goes to the backend
+// server. Every answer carries the header Bronzestair-Verdict; every refusal
+// is a problem document (RFC 9457). An answer is whole or it is broken off: a
+// caller that sees the end of an answer has all of it.
+//
+// # Usage
+//
+//	server := caller.NewServer(loop, backend.NewClient(), directory, books)
+//	loop.Register(server, caller.Priority)
+//	err := server.Serve(listener)
+package caller
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"golang.org/x/net/netutil"
+
+	"bronzestair/core/book"
+	"bronzestair/core/entry"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/io/backend"
+)
+
+// Loop runs the reducer.
+type Loop interface {
+	// Submit reduces an event and sees to its effects.
+	Submit(entry.Event)
+}
+
+// Sender sends attempts to backend servers.
+type Sender interface {
+	Send(context.Context, backend.Attempt) (*backend.Answer, error)
+}
+
+// Directory knows the configuration in force.
+type Directory interface {
+	Service(service.ID) (service.Service, bool)
+	RunnerAddress(runner.ID) (netip.AddrPort, bool)
+}
+
+// Books takes the line in which a request ends.
+type Books interface {
+	Add(book.Line)
+}
+
+// Limits bound what callers can ask of an entry. Zero fields stand for defaults.
+type Limits struct {
+	BodyBytes   int64
+	HeaderBytes int
+	Connections int
+	// HeaderTimeout bounds the time that a caller takes to send a head.
+	HeaderTimeout time.Duration
+	// IdleTimeout bounds the time between two requests on a connection.
+	IdleTimeout time.Duration
+}
+
+const (
+	defaultBodyBytes     = 64 << 20
+	defaultHeaderBytes   = 16 << 10
+	defaultConnections   = 4096
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	// writeGrace is how long after its deadline a caller may take to read an answer.
+	writeGrace = 10 * time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	if l.BodyBytes == 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.Connections == 0 {
+		l.Connections = defaultConnections
+	}
+	if l.HeaderTimeout == 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	if l.IdleTimeout == 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	return l
+}
+
+// Server serves callers. Use NewServer.
+type Server struct {
+	loop        Loop
+	sender      Sender
+	directory   Directory
+	books       Books
+	limits      Limits
+	trustCaller bool
+	tracer      trace.Tracer
+	logger      *slog.Logger
+	exchanges   exchanges
+	http        *http.Server
+}
+
+// Option changes a default of NewServer.
+type Option func(*Server)
+
+// WithLimits sets the limits.
+func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
+
+// WithTrustedCaller takes the caller's name from the header Bronzestair-Caller.
+func WithTrustedCaller(trust bool) Option { return func(s *Server) { s.trustCaller = trust } }
+
+// WithTracer sets where spans go.
+func WithTracer(t trace.Tracer) Option { return func(s *Server) { s.tracer = t } }
+
+// WithLogger sets where logs go.
+func WithLogger(l *slog.Logger) Option { return func(s *Server) { s.logger = l } }
+
+// NewServer returns a server that is not serving yet.
+func NewServer(loop Loop, sender Sender, directory Directory, books Books, options ...Option) *Server {
+	s := &Server{
+		loop: loop, sender: sender, directory: directory, books: books,
+		tracer: noop.NewTracerProvider().Tracer("caller"),
+		logger: slog.New(slog.DiscardHandler),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	s.limits = s.limits.withDefaults()
+	e := echo.New()
+	e.Any("/*", s.serve)
+	s.http = &http.Server{
+		Handler:           e,
+		ReadHeaderTimeout: s.limits.HeaderTimeout,
+		IdleTimeout:       s.limits.IdleTimeout,
+		MaxHeaderBytes:    s.limits.HeaderBytes,
+		ErrorLog:          slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
+	}
+	return s
+}
+
+// Serve accepts callers until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(netutil.LimitListener(l, s.limits.Connections))
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops accepting callers and returns once no request is in flight.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Handle carries out the effects for one exchange. The loop calls it.
+func (s *Server) Handle(effect entry.Effect) {
+	ex := s.exchanges.find(effect.Request)
+	if ex == nil {
+		return
+	}
+	if effect.Kind == entry.Record {
+		s.books.Add(book.Line{
+			Caller:  ex.call.caller,
+			Service: ex.call.service,
+			Key:     ex.call.key,
+			Verdict: effect.Verdict,
+			At:      time.Now(),
+		})
+		return
+	}
+	ex.effects <- effect
+}
+
+// Kinds returns the effects that Handle carries out.
+func (s *Server) Kinds() []entry.EffectKind {
+	return []entry.EffectKind{entry.Dispatch, entry.Refuse, entry.Deliver, entry.Discard, entry.Record}
+}
--- /dev/null
+++ b/io/platform/client.go
@@ -0,0 +1,219 @@
+// Package platform speaks to the platform's table service, object store and
+// instance list over HTTP.
+//
+// # Usage
+//
+//	client := platform.NewClient(address)
+//	row, err := client.Row(ctx, platform.ConfigurationTable, platform.FleetKey)
+//	next, err := client.PutRow(ctx, table, key, row.Version, value)
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"bronzestair/core/book"
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+)
+
+// Where the system keeps its rows and objects.
+const (
+	ConfigurationTable = "configuration"
+	FleetKey           = "fleet"
+	BooksPrefix        = "books/"
+)
+
+const (
+	defaultTimeout  = 2 * time.Second
+	maxAnswerBytes  = 64 << 20
+	versionHeader   = "Row-Version"
+	ifVersionHeader = "If-Row-Version"
+)
+
+// ErrNotFound says that a row or object does not exist.
+var ErrNotFound = merry.New("not found in the platform")
+
+// ErrConflict says that a row has another version than was expected.
+var ErrConflict = merry.New("the row has another version")
+
+// RowVersion numbers the writes of a row. It is 0 for a row that does not exist.
+type RowVersion uint64
+
+// Row is a row of the table service.
+type Row struct {
+	Version RowVersion
+	Value   []byte
+}
+
+// Instance is an instance in the platform's list.
+type Instance struct {
+	ID      runner.ID `json:"id"`
+	Leaving bool      `json:"leaving"`
+}
+
+// Client speaks to the platform. Use NewClient.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for the platform at an address.
+func NewClient(address netip.AddrPort) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	return &Client{
+		base: "http://" + address.String(),
+		http: &http.Client{Transport: transport, Timeout: defaultTimeout},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Row reads a row. It returns ErrNotFound if there is none.
+func (c *Client) Row(ctx context.Context, table, key string) (Row, error) {
+	header, body, err := c.do(ctx, http.MethodGet, rowPath(table, key), nil, nil)
+	if err != nil {
+		return Row{}, err
+	}
+	version, err := strconv.ParseUint(header.Get(versionHeader), 10, 64)
+	if err != nil {
+		return Row{}, merry.Errorf("row %q of table %q has version %q", key, table, header.Get(versionHeader))
+	}
+	return Row{Version: RowVersion(version), Value: body}, nil
+}
+
+// PutRow writes a row if it still has the expected version, and returns the
+// new one. It returns ErrConflict if it has another. After any other error
+// the write may have taken effect.
+func (c *Client) PutRow(ctx context.Context, table, key string, expected RowVersion, value []byte) (RowVersion, error) {
+	condition := http.Header{ifVersionHeader: {strconv.FormatUint(uint64(expected), 10)}}
+	header, _, err := c.do(ctx, http.MethodPut, rowPath(table, key), condition, value)
+	if err != nil {
+		return 0, err
+	}
+	version, err := strconv.ParseUint(header.Get(versionHeader), 10, 64)
+	return RowVersion(version), err
+}
+
+// PutObject writes an object. Writing the same object again changes nothing.
+func (c *Client) PutObject(ctx context.Context, name string, value []byte) error {
+	_, _, err := c.do(ctx, http.MethodPut, "/objects/"+name, nil, value)
+	return err
+}
+
+// Object reads an object.
+func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
+	_, body, err := c.do(ctx, http.MethodGet, "/objects/"+name, nil, nil)
+	return body, err
+}
+
+// Objects lists the names of objects with a prefix, in order.
+func (c *Client) Objects(ctx context.Context, prefix string) ([]string, error) {
+	var names []string
+	err := c.getJSON(ctx, "/objects?prefix="+url.QueryEscape(prefix), &names)
+	return names, err
+}
+
+// Instances reads the list of instances. The list lags.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	err := c.getJSON(ctx, "/instances", &list)
+	return list, err
+}
+
+// Fleet reads the configuration.
+func (c *Client) Fleet(ctx context.Context) (*fleet.Fleet, error) {
+	row, err := c.Row(ctx, ConfigurationTable, FleetKey)
+	if err != nil {
+		return nil, err
+	}
+	var f fleet.Fleet
+	if err := json.Unmarshal(row.Value, &f); err != nil {
+		return nil, merry.Prepend(err, "reading the fleet's configuration")
+	}
+	f.Version = fleet.Version(row.Version)
+	return &f, nil
+}
+
+// FileBatch writes a batch of book lines. Filing it again changes nothing.
+func (c *Client) FileBatch(ctx context.Context, b book.Batch) error {
+	value, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%s%s/%s/%012d", BooksPrefix, b.Entry, b.Incarnation, b.Sequence)
+	return c.PutObject(ctx, name, value)
+}
+
+// Batches reads all batches of book lines.
+func (c *Client) Batches(ctx context.Context) ([]book.Batch, error) {
+	names, err := c.Objects(ctx, BooksPrefix)
+	if err != nil {
+		return nil, err
+	}
+	batches := make([]book.Batch, len(names))
+	for i, name := range names {
+		value, err := c.Object(ctx, name)
+		if err != nil {
+			return nil, err
+		}
+		if err := json.Unmarshal(value, &batches[i]); err != nil {
+			return nil, merry.Prependf(err, "reading book batch %q", name)
+		}
+	}
+	return batches, nil
+}
+
+func rowPath(table, key string) string {
+	return "/tables/" + url.PathEscape(table) + "/" + url.PathEscape(key)
+}
+
+func (c *Client) getJSON(ctx context.Context, path string, out any) error {
+	_, body, err := c.do(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, out)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte) (http.Header, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	// The library sends a request again on its own where it can get the body
+	// anew. A write may be sent once only.
+	request.GetBody = nil
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, nil, merry.Prependf(err, "%s %s", method, path)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, nil, merry.Prependf(err, "%s %s", method, path)
+	}
+	switch {
+	case response.StatusCode == http.StatusNotFound:
+		return nil, nil, ErrNotFound
+	case response.StatusCode == http.StatusConflict:
+		return nil, nil, ErrConflict
+	case response.StatusCode >= 300:
+		return nil, nil, merry.Errorf("%s %s: the platform answered %s", method, path, response.Status)
+	}
+	return response.Header, answer, nil
+}
--- /dev/null
+++ b/prober.go
@@ -0,0 +1,56 @@
+package bronzestair
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"bronzestair/core/entry"
+	"bronzestair/core/runner"
+	"bronzestair/io/backend"
+)
+
+// The probe that a runner that was taken out has to answer with a status below 300.
+const (
+	probePath   = "/health"
+	probeHeader = "Bronzestair-Probe"
+)
+
+// prober carries out Probe effects.
+type prober struct {
+	entry *Entry
+}
+
+// Kinds implements EffectHandler.
+func (p *prober) Kinds() []entry.EffectKind { return []entry.EffectKind{entry.Probe} }
+
+// Handle implements EffectHandler.
+func (p *prober) Handle(effect entry.Effect) {
+	go func() {
+		ok := p.probe(effect.Runner)
+		p.entry.loop.Submit(&entry.ProbeEnded{Runner: effect.Runner, OK: ok})
+	}()
+}
+
+func (p *prober) probe(id runner.ID) bool {
+	address, ok := p.entry.directory.RunnerAddress(id)
+	if !ok {
+		return false
+	}
+	answer, err := p.entry.backend.Send(context.Background(), backend.Attempt{
+		Address: address,
+		Request: &http.Request{
+			Method: http.MethodGet,
+			URL:    &url.URL{Path: probePath},
+			Host:   address.String(),
+			Header: http.Header{probeHeader: {"1"}},
+		},
+		Deadline: time.Now().Add(probeTimeout),
+	})
+	if err != nil {
+		return false
+	}
+	defer answer.Close()
+	return answer.Status < http.StatusMultipleChoices
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,215 @@
+// Package standin takes the place of outside systems in tests, demonstrations
+// and trial runs: the platform, and backend servers.
+//
+// # Usage
+//
+//	platform := standin.NewPlatform()
+//	server, err := standin.Serve(platform, listener)
+//	runner := standin.NewRunner("seats-1", 8)
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"bronzestair/io/platform"
+)
+
+// Fault is what goes wrong with the next calls of a stand-in.
+type Fault struct {
+	// Down refuses calls with 503 and takes no effect.
+	Down bool `json:"down"`
+	// LoseAnswers lets writes take effect and then breaks the connection.
+	LoseAnswers bool `json:"loseAnswers"`
+	// Delay comes before every call.
+	Delay time.Duration `json:"delay"`
+}
+
+// Platform stands in for the table service, the object store and the list of
+// instances. Use NewPlatform.
+type Platform struct {
+	echo *echo.Echo
+	lag  time.Duration
+
+	mu        sync.Mutex
+	fault     Fault
+	rows      map[string]platform.Row
+	objects   map[string][]byte
+	instances []listing
+	reads     int
+	writes    int
+}
+
+// listing is a state of the instance list and when it was set.
+type listing struct {
+	at   time.Time
+	list []platform.Instance
+}
+
+// NewPlatform returns an empty platform whose instance list lags.
+func NewPlatform(lag time.Duration) *Platform {
+	p := &Platform{
+		lag:     lag,
+		rows:    map[string]platform.Row{},
+		objects: map[string][]byte{},
+	}
+	e := echo.New()
+	e.Use(p.faulty)
+	e.GET("/tables/:table/:key", p.getRow)
+	e.PUT("/tables/:table/:key", p.putRow)
+	e.GET("/objects", p.listObjects)
+	e.GET("/objects/*", p.getObject)
+	e.PUT("/objects/*", p.putObject)
+	e.GET("/instances", p.getInstances)
+	p.echo = e
+	return p
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.echo.ServeHTTP(w, r) }
+
+// SetFault sets what goes wrong from now on.
+func (p *Platform) SetFault(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+// SetInstances changes the instance list. Callers see it after the lag.
+func (p *Platform) SetInstances(list []platform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = append(p.instances, listing{at: time.Now(), list: list})
+}
+
+// Calls returns how many reads and writes took effect.
+func (p *Platform) Calls() (reads, writes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads, p.writes
+}
+
+func (p *Platform) faulty(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		p.mu.Lock()
+		fault := p.fault
+		p.mu.Unlock()
+		time.Sleep(fault.Delay)
+		if fault.Down {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		if !fault.LoseAnswers || c.Request().Method == http.MethodGet {
+			return next(c)
+		}
+		c.Response().Writer = discard{header: http.Header{}}
+		_ = next(c)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// discard is a response that nobody gets.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+func (p *Platform) getRow(c echo.Context) error {
+	p.mu.Lock()
+	p.reads++
+	row, ok := p.rows[rowKey(c)]
+	p.mu.Unlock()
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	c.Response().Header().Set("Row-Version", strconv.FormatUint(uint64(row.Version), 10))
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, row.Value)
+}
+
+func (p *Platform) putRow(c echo.Context) error {
+	value, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return err
+	}
+	expected, err := strconv.ParseUint(c.Request().Header.Get("If-Row-Version"), 10, 64)
+	if err != nil {
+		return c.String(http.StatusBadRequest, "header If-Row-Version is not a number")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.rows[rowKey(c)]
+	if row.Version != platform.RowVersion(expected) {
+		return c.NoContent(http.StatusConflict)
+	}
+	p.writes++
+	row = platform.Row{Version: row.Version + 1, Value: value}
+	p.rows[rowKey(c)] = row
+	c.Response().Header().Set("Row-Version", strconv.FormatUint(uint64(row.Version), 10))
+	return c.NoContent(http.StatusOK)
+}
+
+func rowKey(c echo.Context) string { return c.Param("table") + "/" + c.Param("key") }
+
+func (p *Platform) listObjects(c echo.Context) error {
+	prefix := c.QueryParam("prefix")
+	p.mu.Lock()
+	p.reads++
+	names := []string{}
+	for name := range p.objects {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	p.mu.Unlock()
+	sort.Strings(names)
+	return c.JSON(http.StatusOK, names)
+}
+
+func (p *Platform) getObject(c echo.Context) error {
+	p.mu.Lock()
+	p.reads++
+	value, ok := p.objects[c.Param("*")]
+	p.mu.Unlock()
+	if !ok {
+		return c.NoContent(http.StatusNotFound)
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, value)
+}
+
+func (p *Platform) putObject(c echo.Context) error {
+	value, err := io.ReadAll(c.Request().Body)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.writes++
+	p.objects[c.Param("*")] = value
+	p.mu.Unlock()
+	return c.NoContent(http.StatusOK)
+}
+
+func (p *Platform) getInstances(c echo.Context) error {
+	visible := time.Now().Add(-p.lag)
+	p.mu.Lock()
+	p.reads++
+	list := []platform.Instance{}
+	for _, l := range p.instances {
+		if !l.at.After(visible) {
+			list = l.list
+		}
+	}
+	body, err := json.Marshal(list)
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, body)
+}
