Add the daemon, settings, metrics, spans, operators' commands and stand-in programs

Cause: the path ran only inside the demonstration. Change: cmd/bronzestaird with checked settings (file, environment, flags), operators' address with health, readiness, status and metrics, spans as log lines, graceful end; cmd/standin; commands status, books, settings, load.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -15,52 +15,47 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/sync/errgroup"
 
 	"bronzestair/core/book"
 	"bronzestair/core/entry"
 	"bronzestair/core/fleet"
 	"bronzestair/core/runner"
+	"bronzestair/core/settings"
 	"bronzestair/io/backend"
 	"bronzestair/io/caller"
+	"bronzestair/io/operator"
+	"bronzestair/io/otel"
 	"bronzestair/io/platform"
 )
 
 const (
-	defaultID            = fleet.EntryID("entry-1")
-	defaultCallerAddress = "127.0.0.1:8080"
-	defaultPlatform      = "127.0.0.1:8090"
 	// pollEvery is how often the platform is asked for changes.
 	pollEvery = 1 * time.Second
 	// tickEvery is how often time passes in the reducer without an event.
 	tickEvery = 50 * time.Millisecond
-	// probeTimeout bounds a health probe.
-	probeTimeout = 1 * time.Second
 	// finalFilingTimeout bounds the last filing of book lines.
 	finalFilingTimeout = 10 * time.Second
 )
 
 // Entry is one entry instance. Use New.
 type Entry struct {
-	id             fleet.EntryID
-	callerAddress  netip.AddrPort
-	callerListener net.Listener
-	platformAddr   netip.AddrPort
-	drainDelay     time.Duration
-	limits         caller.Limits
-	trustCaller    bool
-	logger         *slog.Logger
-	tracer         trace.Tracer
+	settings         settings.Settings
+	callerListener   net.Listener
+	operatorListener net.Listener
+	logger           *slog.Logger
+	telemetry        *otel.Telemetry
+	closeTelemetry   bool
 
 	loop      *Loop
 	directory directory
@@ -68,54 +63,54 @@
 	platform  *platform.Client
 	books     *platform.Books
 	server    *caller.Server
+	operators *operator.Server
+	stopping  atomic.Bool
 }
 
 // Option changes a default of New.
 type Option func(*Entry)
 
+// WithSettings replaces all default settings.
+func WithSettings(s settings.Settings) Option { return func(e *Entry) { e.settings = s } }
+
 // WithID names the entry instance.
-func WithID(id fleet.EntryID) Option { return func(e *Entry) { e.id = id } }
+func WithID(id fleet.EntryID) Option { return func(e *Entry) { e.settings.Entry = id } }
 
-// WithCallerAddress sets where callers connect.
-func WithCallerAddress(a netip.AddrPort) Option { return func(e *Entry) { e.callerAddress = a } }
+// WithPlatform sets the address of the platform.
+func WithPlatform(a netip.AddrPort) Option { return func(e *Entry) { e.settings.PlatformAddress = a } }
 
 // WithCallerListener serves callers on an open listener.
 func WithCallerListener(l net.Listener) Option { return func(e *Entry) { e.callerListener = l } }
 
-// WithPlatform sets the address of the platform.
-func WithPlatform(a netip.AddrPort) Option { return func(e *Entry) { e.platformAddr = a } }
-
-// WithDrainDelay sets how long requests are still taken after the end began,
-// so that the balancer can notice.
-func WithDrainDelay(d time.Duration) Option { return func(e *Entry) { e.drainDelay = d } }
-
-// WithLimits sets what callers can ask of the entry.
-func WithLimits(l caller.Limits) Option { return func(e *Entry) { e.limits = l } }
-
-// WithTrustedCaller takes the caller's name from a header.
-func WithTrustedCaller(trust bool) Option { return func(e *Entry) { e.trustCaller = trust } }
+// WithOperatorListener serves operators on an open listener.
+func WithOperatorListener(l net.Listener) Option { return func(e *Entry) { e.operatorListener = l } }
 
 // WithLogger sets where logs go.
 func WithLogger(l *slog.Logger) Option { return func(e *Entry) { e.logger = l } }
 
-// WithTracer sets where spans go.
-func WithTracer(t trace.Tracer) Option { return func(e *Entry) { e.tracer = t } }
+// WithTelemetry sets where metrics and spans go. Its owner closes it.
+func WithTelemetry(t *otel.Telemetry) Option { return func(e *Entry) { e.telemetry = t } }
 
 // New returns an entry that is not running yet. Without options it serves on
 // loopback addresses.
 func New(options ...Option) (*Entry, error) {
 	e := &Entry{
-		id:            defaultID,
-		callerAddress: netip.MustParseAddrPort(defaultCallerAddress),
-		platformAddr:  netip.MustParseAddrPort(defaultPlatform),
-		logger:        slog.New(slog.DiscardHandler),
-		tracer:        noop.NewTracerProvider().Tracer("bronzestair"),
+		settings: settings.Default(),
+		logger:   slog.New(slog.DiscardHandler),
 	}
 	for _, option := range options {
 		option(e)
 	}
-	if e.id == "" {
-		return nil, merry.New("the entry has no id")
+	if err := e.settings.Check(); err != nil {
+		return nil, merry.Prepend(err, "settings")
+	}
+	if e.telemetry == nil {
+		telemetry, err := otel.New("bronzestair", e.logger, e.settings.TraceRatio)
+		if err != nil {
+			return nil, merry.Prepend(err, "telemetry")
+		}
+		e.telemetry = telemetry
+		e.closeTelemetry = true
 	}
 	e.assemble()
 	return e, nil
@@ -123,66 +118,108 @@
 
 // assemble makes the parts and connects them.
 func (e *Entry) assemble() {
+	s := e.settings
 	incarnation := fmt.Sprintf("%016x", rand.Uint64())
-	e.loop = NewLoop(entry.New(e.id))
-	e.backend = backend.NewClient()
-	e.platform = platform.NewClient(e.platformAddr)
-	e.books = platform.NewBooks(e.platform, string(e.id), incarnation, e.logger)
+	e.loop = NewLoop(entry.New(s.Entry))
+	e.backend = backend.NewClient(backend.WithConnectTimeout(s.ConnectTimeout))
+	e.platform = platform.NewClient(s.PlatformAddress)
+	e.books = platform.NewBooks(e.platform, string(s.Entry), incarnation, e.logger)
 	e.server = caller.NewServer(e.loop, e.backend, &e.directory, e.books,
-		caller.WithLimits(e.limits),
-		caller.WithTrustedCaller(e.trustCaller),
-		caller.WithTracer(e.tracer),
+		caller.WithLimits(limits(s)),
+		caller.WithTrustedCaller(s.TrustCallerHeader),
+		caller.WithTracer(e.telemetry.Tracer()),
+		caller.WithMeter(e.telemetry.Meter()),
 		caller.WithLogger(e.logger))
+	e.operators = operator.NewServer(e, e.telemetry.Handler())
 	e.loop.Register(e.server, DefaultPriority)
 	e.loop.Register(&prober{entry: e}, DefaultPriority)
+	e.observe()
 }
 
-// Ready reports whether the entry has a configuration.
-func (e *Entry) Ready() bool { return e.directory.version() > 0 }
+func limits(s settings.Settings) caller.Limits {
+	return caller.Limits{
+		BodyBytes:     s.MaxBodyBytes,
+		HeaderBytes:   s.MaxHeaderBytes,
+		Connections:   s.MaxConnections,
+		HeaderTimeout: s.HeaderTimeout,
+		IdleTimeout:   s.IdleTimeout,
+	}
+}
+
+// Ready reports whether the balancer may send requests: the entry has a
+// configuration and is not stopping.
+func (e *Entry) Ready() bool { return e.directory.version() > 0 && !e.stopping.Load() }
+
+// Status returns what operators may see.
+func (e *Entry) Status() entry.Status {
+	status := e.loop.Status()
+	status.Stopping = e.stopping.Load()
+	return status
+}
 
 // Totals returns the book lines of this incarnation.
 func (e *Entry) Totals() book.Totals { return e.books.Totals() }
 
-// Run serves until the context ends, then ends gracefully: no request in
-// flight is cut off and all book lines are filed.
+// Run serves until the context ends, then ends gracefully: readiness goes off
+// first, no request in flight is cut off, and all book lines are filed.
 func (e *Entry) Run(ctx context.Context) error {
-	listener := e.callerListener
-	if listener == nil {
-		var err error
-		listener, err = net.Listen("tcp", e.callerAddress.String())
-		if err != nil {
-			return merry.Prepend(err, "listening for callers")
-		}
+	callers, err := listen(e.callerListener, e.settings.CallerAddress, "callers")
+	if err != nil {
+		return err
+	}
+	operators, err := listen(e.operatorListener, e.settings.OperatorAddress, "operators")
+	if err != nil {
+		callers.Close()
+		return err
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var group errgroup.Group
-	group.Go(func() error { return e.server.Serve(listener) })
+	group.Go(func() error { return e.server.Serve(callers) })
+	group.Go(func() error { return e.operators.Serve(operators) })
 	group.Go(func() error { e.pollPlatform(background); return nil })
 	group.Go(func() error { e.tick(background); return nil })
 	group.Go(func() error { e.books.Run(background); return nil })
+	e.logger.Info("serving", "callers", callers.Addr().String(), "operators", operators.Addr().String())
 
 	<-ctx.Done()
-	e.logger.Info("stopping", "drainDelay", e.drainDelay)
-	time.Sleep(e.drainDelay)
-	err := e.server.Shutdown(background)
+	err = e.drain(background)
 	stopBackground()
-	if groupErr := group.Wait(); err == nil {
-		err = groupErr
+	return errors.Join(err, group.Wait(), e.finish())
+}
+
+// drain takes no more requests and waits for those in flight.
+func (e *Entry) drain(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.logger.Info("stopping", "drainDelay", e.settings.DrainDelay)
+	time.Sleep(e.settings.DrainDelay)
+	err := e.server.Shutdown(ctx)
+	return errors.Join(err, e.operators.Shutdown(ctx))
+}
+
+// listen returns the open listener, or opens one on an address.
+func listen(open net.Listener, address netip.AddrPort, whom string) (net.Listener, error) {
+	if open != nil {
+		return open, nil
 	}
-	return e.finish(err)
+	l, err := net.Listen("tcp", address.String())
+	return l, merry.Prependf(err, "listening for %s", whom)
 }
 
 // finish files the last book lines and lets go of connections.
-func (e *Entry) finish(err error) error {
+func (e *Entry) finish() error {
 	ctx, cancel := context.WithTimeout(context.Background(), finalFilingTimeout)
 	defer cancel()
-	if fileErr := e.books.File(ctx); fileErr != nil {
-		e.logger.Error("book lines are lost", "lines", e.books.Unfiled(), "error", fileErr)
-		err = merry.Prependf(fileErr, "filing %d book lines", e.books.Unfiled())
+	err := e.books.File(ctx)
+	if err != nil {
+		e.logger.Error("book lines are lost", "lines", e.books.Unfiled(), "error", err)
+		err = merry.Prependf(err, "filing %d book lines", e.books.Unfiled())
 	}
 	e.backend.Close()
 	e.platform.Close()
+	if e.closeTelemetry {
+		err = errors.Join(err, e.telemetry.Close(ctx))
+	}
 	return err
 }
 
--- a/cmd/bronzestair/demo_fleet.go
+++ b/cmd/bronzestair/demo_fleet.go
@@ -1,6 +1,14 @@
 package main
 
 import (
+	"bronzestair"
+	"bronzestair/core/book"
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/settings"
+	"bronzestair/io/platform"
+	"bronzestair/standin"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,14 +18,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
-
-	"bronzestair"
-	"bronzestair/core/book"
-	"bronzestair/core/fleet"
-	"bronzestair/core/runner"
-	"bronzestair/core/service"
-	"bronzestair/io/platform"
-	"bronzestair/standin"
 )
 
 const (
@@ -127,11 +127,19 @@
 }
 
 func (f *demoFleet) startEntry(ctx context.Context, i int, platformAddress netip.AddrPort) error {
+	operators, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s := settings.Default()
+	s.Entry = demoEntryID(i)
+	s.PlatformAddress = platformAddress
+	s.TrustCallerHeader = true
+	s.DrainDelay = 0
 	e, err := bronzestair.New(
-		bronzestair.WithID(demoEntryID(i)),
+		bronzestair.WithSettings(s),
 		bronzestair.WithCallerListener(f.callers[i]),
-		bronzestair.WithPlatform(platformAddress),
-		bronzestair.WithTrustedCaller(true),
+		bronzestair.WithOperatorListener(operators),
 	)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/bronzestair/load.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/ansel1/merry/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"bronzestair/core/verdict"
+	"bronzestair/io/backend"
+	"bronzestair/io/caller"
+	"bronzestair/io/command"
+)
+
+const (
+	loadTimeout = 10 * time.Second
+	// loadSlice is how long one of two targets is under load before the other.
+	loadSlice           = 500 * time.Millisecond
+	maxLatencyMicros    = 60_000_000
+	latencyDigits       = 3
+	loadBody            = `{"party":4}`
+	defaultLoadDuration = 5 * time.Second
+)
+
+// loadTarget is what a load goes to.
+type loadTarget struct {
+	address netip.AddrPort
+	path    string
+	client  *backend.Client
+	result  loadResult
+	latency *hdrhistogram.Histogram
+}
+
+// loadResult is what a load measured.
+type loadResult struct {
+	Address           string  `json:"address"`
+	Requests          int     `json:"requests"`
+	Failed            int     `json:"failed"`
+	RequestsPerSecond float64 `json:"requestsPerSecond"`
+	P50Micros         int64   `json:"p50Micros"`
+	P99Micros         int64   `json:"p99Micros"`
+	seconds           float64
+}
+
+// loadReport compares two targets of one run.
+type loadReport struct {
+	Target          loadResult  `json:"target"`
+	Against         *loadResult `json:"against,omitempty"`
+	ThroughputRatio float64     `json:"throughputRatio,omitempty"`
+	P50Ratio        float64     `json:"p50Ratio,omitempty"`
+	P99Ratio        float64     `json:"p99Ratio,omitempty"`
+}
+
+type loadFlags struct {
+	address     netip.AddrPort
+	against     netip.AddrPort
+	service     string
+	connections int
+	duration    time.Duration
+	asJSON      bool
+}
+
+func loadCommand() *ffcli.Command {
+	flags, options := newFlags("load")
+	var f loadFlags
+	address := command.Address(flags, "address", "127.0.0.1:8080", "callers' address of an entry")
+	against := command.Address(flags, "against", "", "address of a backend server to compare with, in turns")
+	flags.StringVar(&f.service, "service", "seats", "service to send requests to")
+	flags.IntVar(&f.connections, "connections", 64, "how many callers send requests at once")
+	flags.DurationVar(&f.duration, "duration", defaultLoadDuration, "how long each target is under load")
+	flags.BoolVar(&f.asJSON, "json", false, "print one JSON object")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "bronzestair load [-address A] [-against B] [-connections N] [-duration D] [-json]",
+		ShortHelp:  "Sends requests and measures rate and latency.",
+		FlagSet:    flags,
+		Options:    options,
+		Exec: func(ctx context.Context, _ []string) error {
+			f.address = *address
+			f.against = *against
+			return runLoad(ctx, f)
+		},
+	}
+}
+
+func runLoad(ctx context.Context, f loadFlags) error {
+	if f.connections < 1 || f.duration <= 0 {
+		return merry.Errorf("-connections is %d and -duration %v, both must be above 0", f.connections, f.duration)
+	}
+	targets := []*loadTarget{newLoadTarget(f.address, "/"+f.service+"/bookings", f.connections)}
+	if f.against.IsValid() {
+		targets = append(targets, newLoadTarget(f.against, "/bookings", f.connections))
+	}
+	for spent := time.Duration(0); spent < f.duration && ctx.Err() == nil; spent += loadSlice {
+		for _, t := range targets {
+			t.run(ctx, f.connections, min(loadSlice, f.duration))
+		}
+	}
+	return compareTargets(targets).print(f.asJSON)
+}
+
+func newLoadTarget(address netip.AddrPort, path string, connections int) *loadTarget {
+	return &loadTarget{
+		address: address,
+		path:    path,
+		client:  backend.NewClient(backend.WithMaxIdle(connections)),
+		latency: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+	}
+}
+
+// run keeps the target under load from all connections for a while.
+func (t *loadTarget) run(ctx context.Context, connections int, d time.Duration) {
+	start := time.Now()
+	end := start.Add(d)
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for n := range connections {
+		callers.Go(func() {
+			latency := hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+			failed := 0
+			for i := 0; ctx.Err() == nil && time.Now().Before(end); i++ {
+				began := time.Now()
+				key := fmt.Sprintf("load-%d-%d-%d", start.UnixNano(), n, i)
+				if !t.send(ctx, key) {
+					failed++
+				}
+				_ = latency.RecordValue(time.Since(began).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			t.latency.Merge(latency)
+			t.result.Failed += failed
+		})
+	}
+	callers.Wait()
+	t.result.seconds += time.Since(start).Seconds()
+}
+
+// send sends one request and reports whether it was answered well.
+func (t *loadTarget) send(ctx context.Context, key string) bool {
+	answer, err := t.client.Send(ctx, backend.Attempt{
+		Address: t.address,
+		Request: &http.Request{
+			Method: http.MethodPost,
+			URL:    &url.URL{Path: t.path},
+			Host:   t.address.String(),
+			Header: http.Header{caller.HeaderKey: {key}, "User-Agent": nil},
+		},
+		Body:     []byte(loadBody),
+		Deadline: time.Now().Add(loadTimeout),
+	})
+	if err != nil {
+		return false
+	}
+	defer answer.Close()
+	told := answer.Header.Get(caller.HeaderVerdict)
+	return answer.Status < http.StatusMultipleChoices && (told == "" || told == verdict.Answered.String())
+}
+
+func (t *loadTarget) measured() loadResult {
+	r := t.result
+	r.Address = t.address.String()
+	r.Requests = int(t.latency.TotalCount())
+	r.RequestsPerSecond = float64(r.Requests) / max(r.seconds, 1e-9)
+	r.P50Micros = t.latency.ValueAtQuantile(50)
+	r.P99Micros = t.latency.ValueAtQuantile(99)
+	return r
+}
+
+func compareTargets(targets []*loadTarget) loadReport {
+	report := loadReport{Target: targets[0].measured()}
+	if len(targets) > 1 {
+		against := targets[1].measured()
+		report.Against = &against
+		report.ThroughputRatio = report.Target.RequestsPerSecond / against.RequestsPerSecond
+		report.P50Ratio = float64(report.Target.P50Micros) / float64(against.P50Micros)
+		report.P99Ratio = float64(report.Target.P99Micros) / float64(against.P99Micros)
+	}
+	return report
+}
+
+func (r loadReport) print(asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	r.Target.print("target")
+	if r.Against != nil {
+		r.Against.print("against")
+		fmt.Printf("ratio: throughput %.2f, p50 %.2f, p99 %.2f\n", r.ThroughputRatio, r.P50Ratio, r.P99Ratio)
+	}
+	return nil
+}
+
+func (r loadResult) print(name string) {
+	fmt.Printf("%-8s %-21s %8.0f requests/s, p50 %d µs, p99 %d µs, %d of %d failed\n",
+		name, r.Address, r.RequestsPerSecond, r.P50Micros, r.P99Micros, r.Failed, r.Requests)
+}
--- a/cmd/bronzestair/main.go
+++ b/cmd/bronzestair/main.go
@@ -3,6 +3,10 @@
 // # Usage
 //
 //	bronzestair demo [-json]
+//	bronzestair status -operator-addresses 127.0.0.1:8082
+//	bronzestair books -caller lodge-7 -month 2026-12
+//	bronzestair settings check entry.jsonc
+//	bronzestair load -against 127.0.0.1:9001
 package main
 
 import (
@@ -16,10 +20,9 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
-)
 
-// envPrefix starts the environment variables that set flags.
-const envPrefix = "BRONZESTAIR"
+	"bronzestair/io/command"
+)
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -40,6 +43,10 @@
 		FlagSet:    flag.NewFlagSet("bronzestair", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
 			demoCommand(),
+			statusCommand(),
+			booksCommand(),
+			settingsCommand(),
+			loadCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -47,5 +54,5 @@
 
 // newFlags returns a flag set and the options that every command uses.
 func newFlags(name string) (*flag.FlagSet, []ff.Option) {
-	return flag.NewFlagSet("bronzestair "+name, flag.ContinueOnError), []ff.Option{ff.WithEnvVarPrefix(envPrefix)}
+	return flag.NewFlagSet("bronzestair "+name, flag.ContinueOnError), []ff.Option{ff.WithEnvVarPrefix(command.EnvPrefix)}
 }
--- /dev/null
+++ b/cmd/bronzestair/status.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"bronzestair/core/entry"
+	"bronzestair/core/settings"
+	"bronzestair/io/operator"
+)
+
+const statusTimeout = 3 * time.Second
+
+func statusCommand() *ffcli.Command {
+	flags, options := newFlags("status")
+	addresses := flags.String("operator-addresses", "127.0.0.1:8082", "operators' addresses of entries, with commas")
+	asJSON := flags.Bool("json", false, "print one JSON list")
+	return &ffcli.Command{
+		Name:       "status",
+		ShortUsage: "bronzestair status [-operator-addresses A,B] [-json]",
+		ShortHelp:  "Shows what entries hold, queue and run.",
+		FlagSet:    flags,
+		Options:    options,
+		Exec: func(ctx context.Context, _ []string) error {
+			return showStatus(ctx, strings.Split(*addresses, ","), *asJSON)
+		},
+	}
+}
+
+// showStatus prints what every entry that can be reached says, and returns an
+// error that names the others.
+func showStatus(ctx context.Context, addresses []string, asJSON bool) error {
+	var list []entry.Status
+	var missing []string
+	for _, a := range addresses {
+		status, err := readStatus(ctx, strings.TrimSpace(a))
+		if err != nil {
+			missing = append(missing, err.Error())
+			continue
+		}
+		list = append(list, status)
+	}
+	if asJSON {
+		if err := json.NewEncoder(os.Stdout).Encode(list); err != nil {
+			return err
+		}
+	} else {
+		printStatus(list)
+	}
+	if len(missing) > 0 {
+		return merry.New(strings.Join(missing, "; "))
+	}
+	return nil
+}
+
+func readStatus(ctx context.Context, text string) (entry.Status, error) {
+	var status entry.Status
+	address, err := settings.ParseAddress(text)
+	if err != nil {
+		return status, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+operator.PathStatus, nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return status, merry.Prependf(err, "entry at %s", address)
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+func printStatus(list []entry.Status) {
+	fmt.Printf("%-10s %7s %-10s %7s %6s %6s %6s %8s %8s %s\n",
+		"ENTRY", "VERSION", "SERVICE", "QUEUED", "BUSY", "HELD", "LENT", "BORROWED", "RUNNERS", "OUT OR LEAVING")
+	for _, e := range list {
+		for _, s := range e.Services {
+			fmt.Printf("%-10s %7d %-10s %7d %6d %6d %6d %8d %8d %v\n",
+				e.Entry, e.Version, s.Service, s.Queued, s.Busy, s.Held, s.Lent, s.Borrowed, s.Runners,
+				append(s.Ejected, s.Leaving...))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/bronzestaird/main.go
@@ -0,0 +1,51 @@
+// Command bronzestaird is the daemon of an entry instance.
+//
+// # Usage
+//
+//	bronzestaird -settings entry.jsonc
+//
+// It ends gracefully on SIGTERM: readiness goes off, requests are still taken
+// for the drain delay, and no request in flight is cut off.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bronzestair"
+	"bronzestair/core/settings"
+	"bronzestair/io/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := run(ctx, os.Args[1:])
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "bronzestaird:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until the context ends.
+func run(ctx context.Context, args []string) error {
+	flags := flag.NewFlagSet("bronzestaird", flag.ContinueOnError)
+	var s settings.Settings
+	s.Bind(flags)
+	if err := command.Parse(flags, args); err != nil {
+		return err
+	}
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel})).
+		With("entry", s.Entry, "dataCentre", s.DataCentre)
+	e, err := bronzestair.New(bronzestair.WithSettings(s), bronzestair.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+	return e.Run(ctx)
+}
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,145 @@
+// Package settings describes the settings of an entry instance's daemon.
+//
+// Every setting can stand in the settings file, in the environment and on the
+// command line; the later one wins. Addresses are IP literals.
+//
+// # Usage
+//
+//	var s settings.Settings
+//	s.Bind(flags)
+//	err := s.Check()
+package settings
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+)
+
+// The defaults of a daemon's settings.
+const (
+	defaultEntry          = "entry-1"
+	defaultDataCentre     = "dc-1"
+	defaultCaller         = "127.0.0.1:8080"
+	defaultPeer           = "127.0.0.1:8081"
+	defaultOperator       = "127.0.0.1:8082"
+	defaultPlatform       = "127.0.0.1:8090"
+	defaultDrainDelay     = 2 * time.Second
+	defaultTraceRatio     = 0.01
+	defaultBodyBytes      = 64 << 20
+	defaultHeaderBytes    = 16 << 10
+	defaultConnections    = 4096
+	defaultHeaderTimeout  = 5 * time.Second
+	defaultIdleTimeout    = 60 * time.Second
+	defaultConnectTimeout = 1 * time.Second
+)
+
+// Settings are the settings of a daemon.
+type Settings struct {
+	Entry             fleet.EntryID
+	DataCentre        runner.DataCentre
+	CallerAddress     netip.AddrPort
+	PeerAddress       netip.AddrPort
+	OperatorAddress   netip.AddrPort
+	PlatformAddress   netip.AddrPort
+	LogLevel          slog.Level
+	TraceRatio        float64
+	DrainDelay        time.Duration
+	TrustCallerHeader bool
+	MaxBodyBytes      int64
+	MaxHeaderBytes    int
+	MaxConnections    int
+	HeaderTimeout     time.Duration
+	IdleTimeout       time.Duration
+	ConnectTimeout    time.Duration
+}
+
+// Default returns the settings of a daemon that is told nothing.
+func Default() Settings {
+	var s Settings
+	s.Bind(flag.NewFlagSet("", flag.ContinueOnError))
+	return s
+}
+
+// Bind adds a flag for every setting and sets the defaults.
+func (s *Settings) Bind(flags *flag.FlagSet) {
+	flags.StringVar((*string)(&s.Entry), "entry", defaultEntry, "name of this entry instance, as in the fleet's configuration")
+	flags.StringVar((*string)(&s.DataCentre), "data-centre", defaultDataCentre, "data centre of this entry instance")
+	address(flags, &s.CallerAddress, "caller-address", defaultCaller, "IP address and port for callers")
+	address(flags, &s.PeerAddress, "peer-address", defaultPeer, "IP address and port for other entries")
+	address(flags, &s.OperatorAddress, "operator-address", defaultOperator, "IP address and port for operators: metrics, health, status")
+	address(flags, &s.PlatformAddress, "platform-address", defaultPlatform, "IP address and port of the platform")
+	flags.TextVar(&s.LogLevel, "log-level", slog.LevelInfo, "lowest level of log lines: debug, info, warn or error")
+	flags.Float64Var(&s.TraceRatio, "trace-ratio", defaultTraceRatio, "share of requests without a trace that get one, 0 to 1")
+	flags.DurationVar(&s.DrainDelay, "drain-delay", defaultDrainDelay, "how long requests are taken after readiness is off")
+	flags.BoolVar(&s.TrustCallerHeader, "trust-caller-header", false, "take the caller's name from the header Bronzestair-Caller")
+	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", defaultBodyBytes, "largest body of a request")
+	flags.IntVar(&s.MaxHeaderBytes, "max-header-bytes", defaultHeaderBytes, "largest head of a request")
+	flags.IntVar(&s.MaxConnections, "max-connections", defaultConnections, "most connections of callers")
+	flags.DurationVar(&s.HeaderTimeout, "header-timeout", defaultHeaderTimeout, "how long a caller may take to send a head")
+	flags.DurationVar(&s.IdleTimeout, "idle-timeout", defaultIdleTimeout, "how long a caller's connection may be idle")
+	flags.DurationVar(&s.ConnectTimeout, "connect-timeout", defaultConnectTimeout, "how long connecting to a backend server may take")
+}
+
+// address adds a flag that takes an IP literal and a port.
+func address(flags *flag.FlagSet, p *netip.AddrPort, name, value, usage string) {
+	*p = netip.MustParseAddrPort(value)
+	flags.Var((*addressValue)(p), name, usage)
+}
+
+// addressValue is a flag's value that refuses host names.
+type addressValue netip.AddrPort
+
+// String implements flag.Value.
+func (a *addressValue) String() string {
+	if a == nil || !netip.AddrPort(*a).IsValid() {
+		return ""
+	}
+	return netip.AddrPort(*a).String()
+}
+
+// Set implements flag.Value.
+func (a *addressValue) Set(text string) error {
+	parsed, err := ParseAddress(text)
+	if err != nil {
+		return err
+	}
+	*a = addressValue(parsed)
+	return nil
+}
+
+// ParseAddress reads an IP literal and a port. It refuses host names.
+func ParseAddress(text string) (netip.AddrPort, error) {
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("address %q is not an IP address and a port; host names are not looked up", text)
+	}
+	return parsed, nil
+}
+
+// Check returns every fault of the settings, joined, nil if there is none.
+func (s *Settings) Check() error {
+	var errs []error
+	fault := func(bad bool, format string, args ...any) {
+		if bad {
+			errs = append(errs, fmt.Errorf(format, args...))
+		}
+	}
+	fault(s.Entry == "", "entry is empty")
+	fault(s.DataCentre == "", "dataCentre is empty")
+	fault(s.TraceRatio < 0 || s.TraceRatio > 1, "traceRatio is %v, not 0 to 1", s.TraceRatio)
+	fault(s.DrainDelay < 0, "drainDelay is %v, below 0", s.DrainDelay)
+	fault(s.MaxBodyBytes < 1, "maxBodyBytes is %d, below 1", s.MaxBodyBytes)
+	fault(s.MaxHeaderBytes < 1024, "maxHeaderBytes is %d, below 1024", s.MaxHeaderBytes)
+	fault(s.MaxConnections < 1, "maxConnections is %d, below 1", s.MaxConnections)
+	fault(s.HeaderTimeout <= 0, "headerTimeout is %v, not above 0", s.HeaderTimeout)
+	fault(s.IdleTimeout <= 0, "idleTimeout is %v, not above 0", s.IdleTimeout)
+	fault(s.ConnectTimeout <= 0, "connectTimeout is %v, not above 0", s.ConnectTimeout)
+	return errors.Join(errs...)
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -26,6 +26,7 @@
 
 	request  *http.Request
 	body     body
+	received time.Time
 	deadline time.Time
 	// answer is the whole answer of the last attempt.
 	answer *backend.Answer
--- /dev/null
+++ b/io/caller/metrics.go
@@ -0,0 +1,55 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"bronzestair/core/service"
+	"bronzestair/core/verdict"
+)
+
+// metrics are the instruments of the callers' side. The nil value counts nothing.
+type metrics struct {
+	duration metric.Float64Histogram
+	// sets holds the attributes of each kind of outcome.
+	sets sync.Map
+}
+
+type outcomeKey struct {
+	service service.ID
+	verdict verdict.Verdict
+}
+
+// durationBoundsSeconds are the histogram's buckets.
+var durationBoundsSeconds = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10}
+
+func newMetrics(m metric.Meter) *metrics {
+	duration, err := m.Float64Histogram("bronzestair.request.duration",
+		metric.WithUnit("s"),
+		metric.WithDescription("Time from a request's head to the end of its answer, by service and verdict."),
+		metric.WithExplicitBucketBoundaries(durationBoundsSeconds...))
+	if err != nil {
+		return nil
+	}
+	return &metrics{duration: duration}
+}
+
+// record counts one request of a known service.
+func (m *metrics) record(id service.ID, v verdict.Verdict, took time.Duration) {
+	if m == nil {
+		return
+	}
+	key := outcomeKey{service: id, verdict: v}
+	option, ok := m.sets.Load(key)
+	if !ok {
+		option, _ = m.sets.LoadOrStore(key, metric.WithAttributeSet(attribute.NewSet(
+			attribute.String("service", string(id)),
+			attribute.String("verdict", v.String()),
+		)))
+	}
+	m.duration.Record(context.Background(), took.Seconds(), option.(metric.MeasurementOption))
+}
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -36,6 +36,7 @@
 		return p.write(w)
 	}
 	v := s.run(ctx, ex, w)
+	s.metrics.record(ex.call.service, v, time.Since(ex.received))
 	if span.IsRecording() {
 		span.SetAttributes(
 			attribute.String("service", string(ex.call.service)),
@@ -47,7 +48,7 @@
 
 // prepare reads the request as far as it has to be known before it is decided on.
 func (s *Server) prepare(ex *exchange, w http.ResponseWriter, r *http.Request) *problem {
-	received := time.Now()
+	ex.received = time.Now()
 	call, p := parseCall(r, s.trustCaller)
 	if p != nil {
 		return p
@@ -63,7 +64,7 @@
 		return badRequest("header %s is %v, over %v of service %q", HeaderTimeout, call.timeout, svc.LongestTimeout(), svc.ID)
 	}
 	ex.call = call
-	ex.deadline = received.Add(call.timeout)
+	ex.deadline = ex.received.Add(call.timeout)
 	if r.ContentLength != 0 {
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(ex.deadline)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 	"golang.org/x/net/netutil"
@@ -103,6 +104,7 @@
 	limits      Limits
 	trustCaller bool
 	tracer      trace.Tracer
+	metrics     *metrics
 	logger      *slog.Logger
 	exchanges   exchanges
 	http        *http.Server
@@ -120,6 +122,9 @@
 // WithTracer sets where spans go.
 func WithTracer(t trace.Tracer) Option { return func(s *Server) { s.tracer = t } }
 
+// WithMeter sets where metrics go.
+func WithMeter(m metric.Meter) Option { return func(s *Server) { s.metrics = newMetrics(m) } }
+
 // WithLogger sets where logs go.
 func WithLogger(l *slog.Logger) Option { return func(s *Server) { s.logger = l } }
 
--- /dev/null
+++ b/io/command/command.go
@@ -0,0 +1,79 @@
+// Package command reads command lines, the environment and settings files.
+//
+// # Usage
+//
+//	flags := flag.NewFlagSet("bronzestaird", flag.ContinueOnError)
+//	s.Bind(flags)
+//	err := command.Parse(flags, os.Args[1:])
+package command
+
+import (
+	"flag"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/peterbourgon/ff/v3"
+
+	"bronzestair/core/settings"
+	"bronzestair/io/jsonc"
+)
+
+// EnvPrefix starts the environment variables that set flags, so that
+// BRONZESTAIR_CALLER_ADDRESS sets -caller-address.
+const EnvPrefix = "BRONZESTAIR"
+
+// settingsFlag names the flag that names the settings file.
+const settingsFlag = "settings"
+
+// Parse sets flags from the command line, then from the environment, then from
+// the settings file that the flag -settings names. The first one wins, and
+// what a later one says is checked all the same.
+func Parse(flags *flag.FlagSet, args []string) error {
+	file := flags.String(settingsFlag, "", "settings file, JSON with comments")
+	err := ff.Parse(flags, args,
+		ff.WithEnvVarPrefix(EnvPrefix),
+		ff.WithConfigFileFlag(settingsFlag),
+		ff.WithConfigFileParser(func(r io.Reader, set func(name, value string) error) error {
+			return jsonc.FlagParser(*file, flags, settingsFlag)(r, set)
+		}),
+	)
+	if err != nil {
+		return err
+	}
+	if flags.NArg() > 0 {
+		return merry.Errorf("argument %q is not a flag", strings.Join(flags.Args(), " "))
+	}
+	return nil
+}
+
+// CheckFile sets flags from a settings file alone.
+func CheckFile(flags *flag.FlagSet, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return jsonc.FlagParser(name, flags, settingsFlag)(file, flags.Set)
+}
+
+// Address adds a flag that takes an IP address and a port. An empty default
+// leaves the address invalid until the flag is set.
+func Address(flags *flag.FlagSet, name, value, usage string) *netip.AddrPort {
+	address := new(netip.AddrPort)
+	if value != "" {
+		*address = netip.MustParseAddrPort(value)
+		usage += " (default " + value + ")"
+	}
+	flags.Func(name, usage, func(text string) error {
+		parsed, err := settings.ParseAddress(text)
+		if err != nil {
+			return err
+		}
+		*address = parsed
+		return nil
+	})
+	return address
+}
--- /dev/null
+++ b/io/jsonc/flags.go
@@ -0,0 +1,104 @@
+package jsonc
+
+import (
+	"flag"
+	"io"
+	"strings"
+	"unicode"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/tailscale/hujson"
+)
+
+// FlagParser returns a parser of settings files for the ff library. A key in
+// camel case sets the flag of that name in kebab case: callerAddress sets
+// -caller-address. Keys without a flag are faults, except those of ignore.
+func FlagParser(name string, flags *flag.FlagSet, ignore ...string) func(io.Reader, func(name, value string) error) error {
+	return func(r io.Reader, set func(name, value string) error) error {
+		data, err := io.ReadAll(r)
+		if err != nil {
+			return err
+		}
+		d, err := parse(name, data)
+		if err != nil {
+			return err
+		}
+		object, ok := d.root.Value.(*hujson.Object)
+		if !ok {
+			return d.fault(d.root, "", merry.New("the settings are not one object"))
+		}
+		return d.setFlags(object, flags, ignore, set)
+	}
+}
+
+func (d *document) setFlags(object *hujson.Object, flags *flag.FlagSet, ignore []string, set func(name, value string) error) error {
+	seen := map[string]bool{}
+	for _, member := range object.Members {
+		key := member.Name.Value.(hujson.Literal).String()
+		name := kebab(key)
+		if seen[key] {
+			return d.fault(member.Name, key, merry.Errorf("key %q stands twice", key))
+		}
+		seen[key] = true
+		if flags.Lookup(name) == nil || contains(ignore, name) || key != camel(name) {
+			return d.fault(member.Name, key, merry.Errorf("key %q does not exist", key))
+		}
+		literal, ok := member.Value.Value.(hujson.Literal)
+		if !ok || literal.Kind() == 'n' {
+			return d.fault(member.Value, key, merry.New("the value is not a string, number or boolean"))
+		}
+		if err := check(flags, name, literal.String()); err != nil {
+			return d.fault(member.Value, key, err)
+		}
+		if err := set(name, literal.String()); err != nil {
+			return d.fault(member.Value, key, err)
+		}
+	}
+	return nil
+}
+
+// check tries a value on a flag and puts the old value back, since the library
+// does not look at values that a flag or the environment overrides.
+func check(flags *flag.FlagSet, name, value string) error {
+	f := flags.Lookup(name)
+	old := f.Value.String()
+	if err := f.Value.Set(value); err != nil {
+		return err
+	}
+	if old == "" {
+		return nil
+	}
+	return f.Value.Set(old)
+}
+
+func contains(list []string, s string) bool {
+	for _, item := range list {
+		if item == s {
+			return true
+		}
+	}
+	return false
+}
+
+// kebab turns callerAddress into caller-address.
+func kebab(key string) string {
+	var b strings.Builder
+	for _, r := range key {
+		if unicode.IsUpper(r) {
+			b.WriteByte('-')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
+
+// camel turns caller-address into callerAddress.
+func camel(name string) string {
+	parts := strings.Split(name, "-")
+	for i := 1; i < len(parts); i++ {
+		if parts[i] != "" {
+			parts[i] = strings.ToUpper(parts[i][:1]) + parts[i][1:]
+		}
+	}
+	return strings.Join(parts, "")
+}
--- /dev/null
+++ b/io/jsonc/jsonc.go
@@ -0,0 +1,179 @@
+// Package jsonc reads JSON with comments and trailing commas, and says in
+// which line and key a fault is.
+//
+// # Usage
+//
+//	err := jsonc.Unmarshal("fleet.jsonc", data, &f)
+//	// fleet.jsonc:12: services[1].timeout: period "5" is not a number with a unit such as 1.5s
+package jsonc
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/tailscale/hujson"
+)
+
+// Fault is an error at a place in a file.
+type Fault struct {
+	File string
+	Line int
+	// Key is the path of the value, such as services[1].timeout. It is empty
+	// where the text is no JSON at all.
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (f *Fault) Error() string {
+	if f.Key == "" {
+		return fmt.Sprintf("%s:%d: %v", f.File, f.Line, f.Cause)
+	}
+	return fmt.Sprintf("%s:%d: %s: %v", f.File, f.Line, f.Key, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error { return f.Cause }
+
+// document is a parsed file.
+type document struct {
+	name string
+	data []byte
+	root hujson.Value
+}
+
+func parse(name string, data []byte) (*document, error) {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, &Fault{File: name, Line: lineInError(err), Cause: err}
+	}
+	return &document{name: name, data: data, root: root}, nil
+}
+
+// lineInError finds the line in an error of the parser, which has no field for it.
+func lineInError(err error) int {
+	_, rest, found := strings.Cut(err.Error(), "line ")
+	if !found {
+		return 1
+	}
+	digits, _, _ := strings.Cut(rest, ",")
+	line, convErr := strconv.Atoi(digits)
+	if convErr != nil {
+		return 1
+	}
+	return line
+}
+
+func (d *document) line(offset int) int {
+	return 1 + bytes.Count(d.data[:min(offset, len(d.data))], []byte("\n"))
+}
+
+func (d *document) fault(v hujson.Value, key string, cause error) error {
+	return &Fault{File: d.name, Line: d.line(v.StartOffset), Key: key, Cause: cause}
+}
+
+// Unmarshal reads a whole file into out, a pointer to a struct. Every fault
+// is a *Fault; several are joined. Unknown and repeated keys are faults.
+func Unmarshal(name string, data []byte, out any) error {
+	d, err := parse(name, data)
+	if err != nil {
+		return err
+	}
+	if errs := d.check(d.root, reflect.TypeOf(out).Elem(), ""); len(errs) > 0 {
+		return errors.Join(errs...)
+	}
+	standard, err := hujson.Standardize(append([]byte(nil), data...))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(standard, out)
+}
+
+// check compares a value with the type that is to hold it.
+func (d *document) check(v hujson.Value, t reflect.Type, key string) []error {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch value := v.Value.(type) {
+	case *hujson.Object:
+		if t.Kind() == reflect.Struct {
+			return d.checkObject(v, value, t, key)
+		}
+	case *hujson.Array:
+		if t.Kind() == reflect.Slice {
+			return d.checkArray(value, t, key)
+		}
+	}
+	return d.checkScalar(v, t, key)
+}
+
+func (d *document) checkObject(v hujson.Value, object *hujson.Object, t reflect.Type, key string) []error {
+	fields := fieldsOf(t)
+	seen := map[string]bool{}
+	var errs []error
+	for _, member := range object.Members {
+		name := member.Name.Value.(hujson.Literal).String()
+		path := join(key, name)
+		field, ok := fields[name]
+		switch {
+		case !ok:
+			errs = append(errs, d.fault(member.Name, path, merry.Errorf("key %q does not exist", name)))
+			continue
+		case seen[name]:
+			errs = append(errs, d.fault(member.Name, path, merry.Errorf("key %q stands twice", name)))
+		}
+		seen[name] = true
+		errs = append(errs, d.check(member.Value, field, path)...)
+	}
+	return errs
+}
+
+func (d *document) checkArray(array *hujson.Array, t reflect.Type, key string) []error {
+	var errs []error
+	for i, element := range array.Elements {
+		errs = append(errs, d.check(element, t.Elem(), fmt.Sprintf("%s[%d]", key, i))...)
+	}
+	return errs
+}
+
+// checkScalar tries to read one value on its own.
+func (d *document) checkScalar(v hujson.Value, t reflect.Type, key string) []error {
+	clone := v.Clone()
+	clone.Standardize()
+	err := json.Unmarshal(bytes.TrimSpace(clone.Pack()), reflect.New(t).Interface())
+	if err == nil {
+		return nil
+	}
+	var mismatch *json.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		err = merry.Errorf("a %s does not fit here", mismatch.Value)
+	}
+	return []error{d.fault(v, key, err)}
+}
+
+// fieldsOf returns the types of a struct's fields by their JSON names.
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if name == "" || name == "-" || !field.IsExported() {
+			continue
+		}
+		fields[name] = field.Type
+	}
+	return fields
+}
+
+func join(key, name string) string {
+	if key == "" {
+		return name
+	}
+	return key + "." + name
+}
--- /dev/null
+++ b/io/otel/otel.go
@@ -0,0 +1,98 @@
+// Package otel sets up OpenTelemetry: metrics for a Prometheus scrape, and
+// spans as log lines.
+//
+// # Usage
+//
+//	telemetry, err := otel.New("bronzestaird", logger, 0.01)
+//	tracer := telemetry.Tracer()
+//	http.Handle("/metrics", telemetry.Handler())
+//	defer telemetry.Close(ctx)
+package otel
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Telemetry is the metrics and traces of one program. Use New.
+type Telemetry struct {
+	name     string
+	registry *prometheus.Registry
+	meters   *sdkmetric.MeterProvider
+	traces   *sdktrace.TracerProvider
+}
+
+// New returns the telemetry of a program. Requests that come without a trace
+// get one at the given ratio, 0 to 1; those that come with one keep its choice.
+func New(name string, logger *slog.Logger, ratio float64) (*Telemetry, error) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, err
+	}
+	return &Telemetry{
+		name:     name,
+		registry: registry,
+		meters:   sdkmetric.NewMeterProvider(sdkmetric.WithReader(reader)),
+		traces: sdktrace.NewTracerProvider(
+			sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(ratio))),
+			sdktrace.WithBatcher(&spanLogger{logger: logger}),
+		),
+	}, nil
+}
+
+// Meter returns where the program's instruments are made.
+func (t *Telemetry) Meter() metric.Meter { return t.meters.Meter(t.name) }
+
+// Tracer returns where the program's spans are made.
+func (t *Telemetry) Tracer() trace.Tracer { return t.traces.Tracer(t.name) }
+
+// Handler serves the metrics in the Prometheus text form.
+func (t *Telemetry) Handler() http.Handler {
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+}
+
+// Close logs the spans that are left.
+func (t *Telemetry) Close(ctx context.Context) error {
+	return errors.Join(t.traces.Shutdown(ctx), t.meters.Shutdown(ctx))
+}
+
+// spanLogger exports spans as log lines.
+type spanLogger struct {
+	logger *slog.Logger
+}
+
+// ExportSpans implements sdktrace.SpanExporter.
+func (l *spanLogger) ExportSpans(ctx context.Context, spans []sdktrace.ReadOnlySpan) error {
+	for _, span := range spans {
+		attributes := make([]any, 0, len(span.Attributes()))
+		for _, a := range span.Attributes() {
+			attributes = append(attributes, slog.Any(string(a.Key), a.Value.AsInterface()))
+		}
+		l.logger.LogAttrs(ctx, slog.LevelInfo, "span",
+			slog.String("name", span.Name()),
+			slog.String("traceId", span.SpanContext().TraceID().String()),
+			slog.String("spanId", span.SpanContext().SpanID().String()),
+			slog.String("parentSpanId", span.Parent().SpanID().String()),
+			slog.Time("start", span.StartTime()),
+			slog.Duration("duration", span.EndTime().Sub(span.StartTime())),
+			slog.Group("attributes", attributes...),
+		)
+	}
+	return nil
+}
+
+// Shutdown implements sdktrace.SpanExporter.
+func (l *spanLogger) Shutdown(context.Context) error { return nil }
--- a/loop.go
+++ b/loop.go
@@ -67,9 +67,9 @@
 	}
 }
 
-// Active returns the number of requests that have not ended.
-func (l *Loop) Active() int {
+// Status returns what operators may see of the state.
+func (l *Loop) Status() entry.Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state.Active()
+	return l.state.Status()
 }
--- a/prober.go
+++ b/prober.go
@@ -17,6 +17,9 @@
 	probeHeader = "Bronzestair-Probe"
 )
 
+// probeTimeout bounds a health probe.
+const probeTimeout = 1 * time.Second
+
 // prober carries out Probe effects.
 type prober struct {
 	entry *Entry
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -83,6 +83,14 @@
 	p.fault = f
 }
 
+// SetRow writes a row whatever its version is.
+func (p *Platform) SetRow(table, key string, value []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := table + "/" + key
+	p.rows[name] = platform.Row{Version: p.rows[name].Version + 1, Value: value}
+}
+
 // SetInstances changes the instance list. Callers see it after the lag.
 func (p *Platform) SetInstances(list []platform.Instance) {
 	p.mu.Lock()
