Check the framing of callers' requests and cut the cost of a request

Profiles showed new connections for most attempts (idle limit 9, 64 slots), goroutines waiting 200 microseconds per request for the loop's lock, and a goroutine per request blocked in the library's watch for a leaving caller. Change: idle connections follow a runner's share; flat combining in the loop; the caller's connection checks framing, bounds times with few deadline calls and looks for a leaving caller itself; fewer allocations per request.

--- a/cmd/bronzestair/load.go
+++ b/cmd/bronzestair/load.go
@@ -24,7 +24,7 @@
 const (
 	loadTimeout = 10 * time.Second
 	// loadSlice is how long one of two targets is under load before the other.
-	loadSlice           = 500 * time.Millisecond
+	loadSlice           = 1 * time.Second
 	maxLatencyMicros    = 60_000_000
 	latencyDigits       = 3
 	loadBody            = `{"party":4}`
@@ -36,8 +36,15 @@
 	address netip.AddrPort
 	path    string
 	client  *backend.Client
-	result  loadResult
+	callers []loadCaller
+	seconds float64
+}
+
+// loadCaller is one of the callers that send requests at once.
+type loadCaller struct {
 	latency *hdrhistogram.Histogram
+	sent    int
+	failed  int
 }
 
 // loadResult is what a load measured.
@@ -48,7 +55,6 @@
 	RequestsPerSecond float64 `json:"requestsPerSecond"`
 	P50Micros         int64   `json:"p50Micros"`
 	P99Micros         int64   `json:"p99Micros"`
-	seconds           float64
 }
 
 // loadReport compares two targets of one run.
@@ -102,47 +108,51 @@
 	}
 	for spent := time.Duration(0); spent < f.duration && ctx.Err() == nil; spent += loadSlice {
 		for _, t := range targets {
-			t.run(ctx, f.connections, min(loadSlice, f.duration))
+			t.run(ctx, min(loadSlice, f.duration))
 		}
 	}
 	return compareTargets(targets).print(f.asJSON)
 }
 
 func newLoadTarget(address netip.AddrPort, path string, connections int) *loadTarget {
-	return &loadTarget{
+	t := &loadTarget{
 		address: address,
 		path:    path,
 		client:  backend.NewClient(backend.WithMaxIdle(connections)),
-		latency: hdrhistogram.New(1, maxLatencyMicros, latencyDigits),
+		callers: make([]loadCaller, connections),
 	}
+	for i := range t.callers {
+		t.callers[i].latency = hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+	}
+	return t
 }
 
-// run keeps the target under load from all connections for a while.
-func (t *loadTarget) run(ctx context.Context, connections int, d time.Duration) {
+// run keeps the target under load from all callers for a while.
+func (t *loadTarget) run(ctx context.Context, d time.Duration) {
 	start := time.Now()
 	end := start.Add(d)
-	var mu sync.Mutex
 	var callers sync.WaitGroup
-	for n := range connections {
+	for i := range t.callers {
 		callers.Go(func() {
-			latency := hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
-			failed := 0
-			for i := 0; ctx.Err() == nil && time.Now().Before(end); i++ {
-				began := time.Now()
-				key := fmt.Sprintf("load-%d-%d-%d", start.UnixNano(), n, i)
-				if !t.send(ctx, key) {
-					failed++
-				}
-				_ = latency.RecordValue(time.Since(began).Microseconds())
+			for ctx.Err() == nil && time.Now().Before(end) {
+				t.sendTimed(ctx, i)
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			t.latency.Merge(latency)
-			t.result.Failed += failed
 		})
 	}
 	callers.Wait()
-	t.result.seconds += time.Since(start).Seconds()
+	t.seconds += time.Since(start).Seconds()
+}
+
+// sendTimed sends one request of caller i and notes how long it took.
+func (t *loadTarget) sendTimed(ctx context.Context, i int) {
+	c := &t.callers[i]
+	began := time.Now()
+	key := fmt.Sprintf("load-%d-%d-%d", began.UnixNano(), i, c.sent)
+	c.sent++
+	if !t.send(ctx, key) {
+		c.failed++
+	}
+	_ = c.latency.RecordValue(time.Since(began).Microseconds())
 }
 
 // send sends one request and reports whether it was answered well.
@@ -167,12 +177,16 @@
 }
 
 func (t *loadTarget) measured() loadResult {
-	r := t.result
-	r.Address = t.address.String()
-	r.Requests = int(t.latency.TotalCount())
-	r.RequestsPerSecond = float64(r.Requests) / max(r.seconds, 1e-9)
-	r.P50Micros = t.latency.ValueAtQuantile(50)
-	r.P99Micros = t.latency.ValueAtQuantile(99)
+	all := hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+	r := loadResult{Address: t.address.String()}
+	for _, c := range t.callers {
+		all.Merge(c.latency)
+		r.Requests += c.sent
+		r.Failed += c.failed
+	}
+	r.RequestsPerSecond = float64(r.Requests) / max(t.seconds, 1e-9)
+	r.P50Micros = all.ValueAtQuantile(50)
+	r.P99Micros = all.ValueAtQuantile(99)
 	return r
 }
 
--- a/cmd/bronzestaird/main.go
+++ b/cmd/bronzestaird/main.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"bronzestair"
@@ -23,7 +24,14 @@
 	"bronzestair/io/command"
 )
 
+// gcPercent trades memory for processor time: a daemon's live memory is a few
+// megabytes. The variable GOGC goes before it.
+const gcPercent = 300
+
 func main() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	err := run(ctx, os.Args[1:])
--- a/directory.go
+++ b/directory.go
@@ -1,12 +1,12 @@
 package bronzestair
 
 import (
-	"net/netip"
 	"sync/atomic"
 
 	"bronzestair/core/fleet"
 	"bronzestair/core/runner"
 	"bronzestair/core/service"
+	"bronzestair/io/caller"
 )
 
 // directory answers questions about the configuration in force without a lock.
@@ -17,7 +17,7 @@
 type directoryIndex struct {
 	version  fleet.Version
 	services map[service.ID]service.Service
-	runners  map[runner.ID]netip.AddrPort
+	runners  map[runner.ID]caller.Endpoint
 }
 
 // set puts a configuration in force, unless a newer one is.
@@ -25,13 +25,13 @@
 	next := &directoryIndex{
 		version:  f.Version,
 		services: make(map[service.ID]service.Service, len(f.Services)),
-		runners:  make(map[runner.ID]netip.AddrPort, len(f.Runners)),
+		runners:  make(map[runner.ID]caller.Endpoint, len(f.Runners)),
 	}
 	for _, s := range f.Services {
 		next.services[s.ID] = s
 	}
 	for _, r := range f.Runners {
-		next.runners[r.ID] = r.Address
+		next.runners[r.ID] = caller.Endpoint{Address: r.Address, Connections: r.ConnectionShare(len(f.Entries))}
 	}
 	for {
 		old := d.current.Load()
@@ -63,12 +63,12 @@
 	return s, ok
 }
 
-// RunnerAddress implements caller.Directory.
-func (d *directory) RunnerAddress(id runner.ID) (netip.AddrPort, bool) {
+// Runner implements caller.Directory.
+func (d *directory) Runner(id runner.ID) (caller.Endpoint, bool) {
 	index := d.current.Load()
 	if index == nil {
-		return netip.AddrPort{}, false
+		return caller.Endpoint{}, false
 	}
-	a, ok := index.runners[id]
-	return a, ok
+	endpoint, ok := index.runners[id]
+	return endpoint, ok
 }
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -42,6 +42,8 @@
 // Attempt is one try to have a request run.
 type Attempt struct {
 	Address netip.AddrPort
+	// MaxIdle bounds the idle connections that are kept to the address, 0 for the client's default.
+	MaxIdle int
 	// Request is the head to send, with ContentLength set, -1 for chunked. Its
 	// Body is not used.
 	Request *http.Request
@@ -205,9 +207,9 @@
 	p = &pool{
 		address: address,
 		dialer:  net.Dialer{Timeout: c.connectTimeout},
-		maxIdle: c.maxIdle,
 		idleFor: c.idleTimeout,
 	}
+	p.maxIdle.Store(int64(c.maxIdle))
 	c.pools[address] = p
 	return p
 }
@@ -216,6 +218,9 @@
 // and the body as far as it can be held. Every error is an *Error.
 func (c *Client) Send(ctx context.Context, a Attempt) (*Answer, error) {
 	p := c.pool(a.Address)
+	if a.MaxIdle > 0 {
+		p.maxIdle.Store(int64(a.MaxIdle))
+	}
 	cn, err := c.connect(ctx, p, a)
 	if err != nil {
 		return nil, failure(verdict.NotRun, err)
@@ -243,9 +248,7 @@
 }
 
 func (c *Client) connect(ctx context.Context, p *pool, a Attempt) (*conn, error) {
-	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
-	defer cancel()
-	cn, err := p.get(ctx)
+	cn, err := p.get(ctx, a.Deadline)
 	if err != nil {
 		return nil, err
 	}
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -3,8 +3,9 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
+
+	"bronzestair/io/socket"
 )
 
 const (
@@ -21,16 +22,14 @@
 	written int64
 	reused  bool
 	idleAt  time.Time
-	raw     syscall.RawConn
+	peeker  socket.Peeker
 }
 
 func newConn(c net.Conn) *conn {
 	out := &conn{Conn: c}
 	out.reader = bufio.NewReaderSize(c, readBufferSize)
 	out.writer = bufio.NewWriterSize(out, writeBufferSize)
-	if sc, ok := c.(syscall.Conn); ok {
-		out.raw, _ = sc.SyscallConn()
-	}
+	out.peeker = socket.NewPeeker(c)
 	return out
 }
 
@@ -44,18 +43,5 @@
 // quiet reports whether an idle connection is open and has nothing to read. A
 // runner that closed it, or that sent bytes nobody asked for, makes it useless.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	if c.raw == nil {
-		return true
-	}
-	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errno == syscall.EAGAIN || errno == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
+	return c.reader.Buffered() == 0 && c.peeker.Peek() == socket.Quiet
 }
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 type pool struct {
 	address netip.AddrPort
 	dialer  net.Dialer
-	maxIdle int
+	maxIdle atomic.Int64
 	idleFor time.Duration
 
 	mu   sync.Mutex
@@ -20,7 +21,7 @@
 }
 
 // get returns an idle connection that is still good, or a new one.
-func (p *pool) get(ctx context.Context) (*conn, error) {
+func (p *pool) get(ctx context.Context, deadline time.Time) (*conn, error) {
 	for {
 		c := p.pop()
 		if c == nil {
@@ -33,6 +34,8 @@
 		}
 		c.Close()
 	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.address.String())
 	if err != nil {
 		return nil, err
@@ -54,13 +57,9 @@
 
 // put keeps a connection whose last answer was read to its end.
 func (p *pool) put(c *conn) {
-	if c.SetDeadline(time.Time{}) != nil {
-		c.Close()
-		return
-	}
 	c.idleAt = time.Now()
 	p.mu.Lock()
-	full := len(p.idle) >= p.maxIdle
+	full := int64(len(p.idle)) >= p.maxIdle.Load()
 	if !full {
 		p.idle = append(p.idle, c)
 	}
--- a/io/backend/upload.go
+++ b/io/backend/upload.go
@@ -1,9 +1,10 @@
 package backend
 
 import (
-	"bytes"
+	"bufio"
 	"io"
 	"net/http"
+	"strconv"
 )
 
 // upload is a request body that is sent while the answer is awaited.
@@ -42,20 +43,18 @@
 // send writes the request. A held body is sent at once; a stream goes on in
 // the upload that it returns.
 func send(cn *conn, a Attempt) (*upload, error) {
-	request := *a.Request
 	if a.Stream == nil {
-		request.Body = io.NopCloser(bytes.NewReader(a.Body))
-		request.ContentLength = int64(len(a.Body))
-		if len(a.Body) == 0 {
-			request.Body = http.NoBody
-		}
-		return nil, writeRequest(cn, &request)
+		return nil, writeHeld(cn, a.Request, a.Body)
 	}
+	request := *a.Request
 	request.Body = io.NopCloser(a.Stream)
 	up := &upload{done: make(chan struct{}), stop: a.StopStream}
 	go func() {
 		defer close(up.done)
-		up.err = writeRequest(cn, &request)
+		up.err = request.Write(cn.writer)
+		if up.err == nil {
+			up.err = cn.writer.Flush()
+		}
 		if up.err != nil {
 			// Without its body the request gets no answer: end the wait.
 			cn.Close()
@@ -64,9 +63,27 @@
 	return up, nil
 }
 
-func writeRequest(cn *conn, request *http.Request) error {
-	if err := request.Write(cn.writer); err != nil {
-		return err
+// writeHeld writes a request whose body is held. It does what
+// http.Request.Write does for such a body, without its allocations.
+func writeHeld(cn *conn, request *http.Request, body []byte) error {
+	w := cn.writer
+	writeAll(w, request.Method, " ", request.URL.RequestURI(), " HTTP/1.1\r\nHost: ", request.Host, "\r\n")
+	if len(body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut || request.Method == http.MethodPatch {
+		writeAll(w, "Content-Length: ", strconv.Itoa(len(body)), "\r\n")
+	}
+	for name, values := range request.Header {
+		for _, value := range values {
+			writeAll(w, name, ": ", value, "\r\n")
+		}
+	}
+	writeAll(w, "\r\n")
+	// A bufio.Writer keeps its first error, so that the last call shows it.
+	_, _ = w.Write(body)
+	return w.Flush()
+}
+
+func writeAll(w *bufio.Writer, parts ...string) {
+	for _, part := range parts {
+		_, _ = w.WriteString(part)
 	}
-	return cn.writer.Flush()
 }
--- /dev/null
+++ b/io/caller/conn.go
@@ -0,0 +1,173 @@
+package caller
+
+import (
+	"bronzestair/io/socket"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	readChunkBytes = 4 << 10
+	// unlimited is longer than any request lasts.
+	unlimited = 365 * 24 * time.Hour
+	// refusedPath takes the place of a request that was refused before it was parsed.
+	refusedPath    = "/.refused"
+	refusedRequest = "GET " + refusedPath + " HTTP/1.1\r\nHost: refused\r\nConnection: close\r\n\r\n"
+)
+
+// conn is a caller's connection. It passes on whole, unambiguous heads only,
+// and bounds the time that a caller takes for a head, a body and between requests.
+type conn struct {
+	net.Conn
+	limits Limits
+
+	peeker   socket.Peeker
+	framing  framing
+	buffer   []byte
+	verified int
+	refusal  *problem
+	// waiting is what the caller was last waited for, since when.
+	waiting framingState
+	partial bool
+	since   time.Time
+	// active says that a request is in flight, so that silence is allowed.
+	active atomic.Bool
+
+	mu sync.Mutex
+	// outer is the read deadline that the library set.
+	outer time.Time
+	// armed is the read deadline that this connection set.
+	armed      time.Time
+	writeUntil time.Time
+}
+
+type connKey struct{}
+
+// connOf returns the connection of a request, nil if the server does not know it.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// gone reports whether the caller has closed its connection.
+func (c *conn) gone() bool { return c.peeker.Peek() == socket.Closed }
+
+// Read returns bytes of heads that are whole and in order, and of bodies.
+//
+// While a request is in flight the library reads a single byte, to notice that
+// the caller has left. It gets nothing, at once: the server looks itself, by
+// gone, when it matters, and saves a blocked goroutine for each request.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 1 && c.active.Load() && c.framing.state == inHead {
+		return 0, nil
+	}
+	for c.verified == 0 {
+		if err := c.fill(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, c.buffer[:c.verified])
+	c.verified -= n
+	c.buffer = c.buffer[:copy(c.buffer, c.buffer[n:])]
+	return n, nil
+}
+
+// fill reads from the caller and verifies what came.
+func (c *conn) fill() error {
+	if c.refusal != nil {
+		return net.ErrClosed
+	}
+	c.arm()
+	used := len(c.buffer)
+	if cap(c.buffer)-used < readChunkBytes/2 {
+		c.buffer = append(make([]byte, 0, 2*cap(c.buffer)+readChunkBytes), c.buffer...)
+	}
+	n, err := c.Conn.Read(c.buffer[used:cap(c.buffer)])
+	c.buffer = c.buffer[:used+n]
+	if n == 0 {
+		return err
+	}
+	verified, p := c.framing.advance(c.buffer, c.limits.HeaderBytes)
+	c.verified = verified
+	if p != nil {
+		c.refuse(p)
+	}
+	return nil
+}
+
+// refuse puts a request in place of the bad one that makes the server send the
+// problem, after all answers to requests before it. Nothing is read any more.
+func (c *conn) refuse(p *problem) {
+	c.refusal = p
+	c.buffer = append(c.buffer[:c.verified], refusedRequest...)
+	c.verified = len(c.buffer)
+}
+
+// arm sets a read deadline that fits what is waited for.
+func (c *conn) arm() {
+	now := time.Now()
+	partial := len(c.buffer) > 0
+	if c.since.IsZero() || c.waiting != c.framing.state || c.partial != partial {
+		c.waiting = c.framing.state
+		c.partial = partial
+		c.since = now
+	}
+	limit := c.limits.IdleTimeout
+	switch {
+	case c.active.Load() && c.framing.state == inHead && !partial:
+		limit = unlimited
+	case c.framing.state != inHead:
+		limit = c.limits.BodyTimeout
+	case partial:
+		limit = c.limits.HeaderTimeout
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := c.since.Add(limit)
+	if !c.outer.IsZero() || (deadline.Sub(c.armed).Abs() < limit/4 && !c.armed.IsZero()) {
+		return
+	}
+	c.armed = deadline
+	_ = c.Conn.SetReadDeadline(deadline)
+}
+
+// SetReadDeadline is how the library interrupts a pending read. That goes
+// before the connection's own limits.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.IsZero() && c.outer.IsZero() {
+		return nil
+	}
+	c.outer = t
+	c.armed = time.Time{}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Write bounds the time that a caller takes to read an answer.
+func (c *conn) Write(p []byte) (int, error) {
+	now := time.Now()
+	if c.writeUntil.Sub(now) < c.limits.WriteTimeout/2 {
+		c.writeUntil = now.Add(c.limits.WriteTimeout)
+		_ = c.Conn.SetWriteDeadline(c.writeUntil)
+	}
+	return c.Conn.Write(p)
+}
+
+// listener wraps the connections of callers.
+type listener struct {
+	net.Listener
+	limits Limits
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, limits: l.limits, peeker: socket.NewPeeker(c)}, nil
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzestair/core/entry"
@@ -18,6 +19,8 @@
 	call    call
 	id      entry.RequestID
 	effects chan entry.Effect
+	// users counts the server and, while it knows the request, the reducer.
+	users atomic.Int32
 
 	arrived   entry.Arrived
 	started   entry.AnswerStarted
@@ -30,8 +33,9 @@
 	deadline time.Time
 	// answer is the whole answer of the last attempt.
 	answer *backend.Answer
-	// stopped says that the entry stopped reading the request's body.
-	stopped bool
+	conn   *conn
+	// left says that the reducer knows that the caller has left.
+	left bool
 }
 
 // exchanges finds the exchange that an effect is for.
@@ -66,25 +70,38 @@
 	s := &t.slots[index]
 	s.generation++
 	s.exchange = ex
+	ex.users.Store(1)
 	ex.id = entry.NewRequestID(index, s.generation)
 	return ex
 }
 
-// close forgets an exchange. No effect reaches it any more.
-func (t *exchanges) close(ex *exchange) {
+// release ends one use of an exchange. With the last one it is forgotten.
+func (t *exchanges) release(ex *exchange) {
+	if ex.users.Add(-1) > 0 {
+		return
+	}
 	t.mu.Lock()
 	index := ex.id.Index()
 	t.slots[index].exchange = nil
 	t.free = append(t.free, index)
 	t.mu.Unlock()
-	effects := ex.effects
-	for len(effects) > 0 {
-		<-effects
-	}
-	*ex = exchange{effects: effects}
+	ex.reset()
 	exchangePool.Put(ex)
 }
 
+// reset makes an exchange ready for another request.
+func (ex *exchange) reset() {
+	for len(ex.effects) > 0 {
+		<-ex.effects
+	}
+	ex.call = call{}
+	ex.request = nil
+	ex.body = body{}
+	ex.answer = nil
+	ex.conn = nil
+	ex.left = false
+}
+
 // find returns the exchange of a request, nil if it is gone.
 func (t *exchanges) find(id entry.RequestID) *exchange {
 	t.mu.Lock()
--- /dev/null
+++ b/io/caller/framing.go
@@ -0,0 +1,240 @@
+package caller
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// maxChunkLine bounds the line before a chunk, and a trailer line, in bytes.
+const maxChunkLine = 4 << 10
+
+// framingState is where a byte stream of requests stands.
+type framingState uint8
+
+const (
+	inHead framingState = iota
+	inBody
+	inChunkSize
+	inChunk
+	inChunkEnd
+	inTrailer
+)
+
+// framing follows where requests begin and end in a byte stream (RFC 9112),
+// and refuses every head that two parsers could read in two ways.
+//
+// The zero value stands at the beginning of a head.
+type framing struct {
+	state framingState
+	// left counts the bytes of the body or chunk that are to come.
+	left int64
+}
+
+// advance looks at unverified bytes and returns how many of them are in order
+// and complete enough to be passed on.
+func (f *framing) advance(data []byte, maxHead int) (int, *problem) {
+	done := 0
+	for {
+		n, p := f.step(data[done:], maxHead)
+		done += n
+		if p != nil || n == 0 {
+			return done, p
+		}
+	}
+}
+
+func (f *framing) step(data []byte, maxHead int) (int, *problem) {
+	switch f.state {
+	case inHead:
+		return f.head(data, maxHead)
+	case inBody, inChunk:
+		return f.content(data), nil
+	case inChunkSize:
+		return f.chunkSize(data)
+	case inChunkEnd:
+		return f.chunkEnd(data)
+	default:
+		return f.trailer(data)
+	}
+}
+
+// content passes on bytes of a body or chunk.
+func (f *framing) content(data []byte) int {
+	n := min(f.left, int64(len(data)))
+	f.left -= n
+	if f.left > 0 {
+		return int(n)
+	}
+	if f.state == inBody {
+		f.state = inHead
+	} else {
+		f.state = inChunkEnd
+	}
+	return int(n)
+}
+
+func (f *framing) head(data []byte, maxHead int) (int, *problem) {
+	// An empty line before a request line is allowed and passed on (section 2.2).
+	if bytes.HasPrefix(data, crlf) {
+		return len(crlf), nil
+	}
+	end := bytes.Index(data, []byte("\r\n\r\n"))
+	if end > maxHead || (end < 0 && len(data) > maxHead) {
+		return 0, newProblem(http.StatusRequestHeaderFieldsTooLarge, "the head has more than %d bytes", maxHead)
+	}
+	if end < 0 {
+		return 0, checkLineEnds(data)
+	}
+	length, chunked, p := parseFraming(data[:end])
+	if p != nil {
+		return 0, p
+	}
+	switch {
+	case chunked:
+		f.state = inChunkSize
+	case length > 0:
+		f.state = inBody
+		f.left = length
+	}
+	return end + len("\r\n\r\n"), nil
+}
+
+var crlf = []byte("\r\n")
+
+// checkLineEnds refuses a head whose lines end in a bare line feed.
+func checkLineEnds(data []byte) *problem {
+	for i, c := range data {
+		if c == '\n' && (i == 0 || data[i-1] != '\r') {
+			return badRequest("a line of the head ends without a carriage return")
+		}
+	}
+	return nil
+}
+
+// parseFraming reads the headers that say where the body ends.
+func parseFraming(head []byte) (length int64, chunked bool, p *problem) {
+	start, rest, _ := bytes.Cut(head, crlf)
+	if p := checkLineEnds(start); p != nil {
+		return 0, false, p
+	}
+	var lengths, encodings int
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, crlf)
+		name, value, p := splitHeader(line)
+		if p != nil {
+			return 0, false, p
+		}
+		switch {
+		case len(name) == len("Content-Length") && bytes.EqualFold(name, []byte("Content-Length")):
+			lengths++
+			length, p = parseLength(value)
+		case len(name) == len("Transfer-Encoding") && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			encodings++
+			chunked = bytes.EqualFold(value, []byte("chunked"))
+			if !chunked {
+				p = newProblem(http.StatusNotImplemented, "transfer encoding %q is not served", value)
+			}
+		}
+		if p != nil {
+			return 0, false, p
+		}
+	}
+	switch {
+	case lengths > 1:
+		p = badRequest("header Content-Length stands %d times", lengths)
+	case encodings > 1:
+		p = badRequest("header Transfer-Encoding stands %d times", encodings)
+	case lengths > 0 && encodings > 0:
+		p = badRequest("headers Content-Length and Transfer-Encoding exclude each other")
+	case encodings > 0 && !bytes.HasSuffix(start, []byte(" HTTP/1.1")):
+		p = badRequest("header Transfer-Encoding needs HTTP/1.1")
+	}
+	return length, chunked, p
+}
+
+// splitHeader returns the name and value of a header line.
+func splitHeader(line []byte) (name, value []byte, p *problem) {
+	if bytes.IndexByte(line, '\n') >= 0 || bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
+		return nil, nil, badRequest("a line of the head has a control character")
+	}
+	colon := bytes.IndexByte(line, ':')
+	if colon <= 0 {
+		return nil, nil, badRequest("a line of the head is no header")
+	}
+	name = line[:colon]
+	if bytes.IndexByte(name, ' ') >= 0 || bytes.IndexByte(name, '\t') >= 0 {
+		return nil, nil, badRequest("a header's name has white space")
+	}
+	return name, bytes.Trim(line[colon+1:], " \t"), nil
+}
+
+func parseLength(value []byte) (int64, *problem) {
+	for _, c := range value {
+		if c < '0' || c > '9' {
+			return 0, badRequest("header Content-Length is %q, not a number", value)
+		}
+	}
+	n, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil {
+		return 0, badRequest("header Content-Length is %q, not a number in range", value)
+	}
+	return n, nil
+}
+
+func (f *framing) chunkSize(data []byte) (int, *problem) {
+	line, n, p := wholeLine(data)
+	if n == 0 || p != nil {
+		return 0, p
+	}
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	size, err := strconv.ParseInt(string(bytes.TrimRight(digits, " \t")), 16, 64)
+	if err != nil || digits[0] == '+' || digits[0] == '-' {
+		return 0, badRequest("chunk size %q is not a number", digits)
+	}
+	f.left = size
+	f.state = inChunk
+	if size == 0 {
+		f.state = inTrailer
+	}
+	return n, nil
+}
+
+func (f *framing) chunkEnd(data []byte) (int, *problem) {
+	if len(data) < len(crlf) {
+		return 0, nil
+	}
+	if !bytes.HasPrefix(data, crlf) {
+		return 0, badRequest("a chunk is longer than its size")
+	}
+	f.state = inChunkSize
+	return len(crlf), nil
+}
+
+func (f *framing) trailer(data []byte) (int, *problem) {
+	line, n, p := wholeLine(data)
+	if n == 0 || p != nil {
+		return 0, p
+	}
+	if len(line) == 0 {
+		f.state = inHead
+	}
+	return n, nil
+}
+
+// wholeLine returns the first line and its length with the line end, 0 if
+// the line is not complete yet.
+func wholeLine(data []byte) (line []byte, n int, p *problem) {
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 {
+		if len(data) > maxChunkLine {
+			return nil, 0, badRequest("a chunk's line has more than %d bytes", maxChunkLine)
+		}
+		return nil, 0, nil
+	}
+	if end == 0 || data[end-1] != '\r' {
+		return nil, 0, badRequest("a chunk's line ends without a carriage return")
+	}
+	return data[:end-1], end + 1, nil
+}
--- a/io/caller/header.go
+++ b/io/caller/header.go
@@ -181,17 +181,14 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// copyEndToEnd adds to dst all headers of src that do not end at this hop.
-func copyEndToEnd(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = values
-	}
-	for _, value := range src["Connection"] {
+// dropHopHeaders takes out the headers that end at this hop.
+func dropHopHeaders(h http.Header) {
+	for _, value := range h["Connection"] {
 		for _, name := range strings.Split(value, ",") {
-			delete(dst, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
 	}
 	for _, name := range hopHeaders {
-		delete(dst, name)
+		delete(h, name)
 	}
 }
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -46,10 +46,10 @@
 	key := outcomeKey{service: id, verdict: v}
 	option, ok := m.sets.Load(key)
 	if !ok {
-		option, _ = m.sets.LoadOrStore(key, metric.WithAttributeSet(attribute.NewSet(
+		option, _ = m.sets.LoadOrStore(key, []metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(
 			attribute.String("service", string(id)),
 			attribute.String("verdict", v.String()),
-		)))
+		))})
 	}
-	m.duration.Record(context.Background(), took.Seconds(), option.(metric.MeasurementOption))
+	m.duration.Record(context.Background(), took.Seconds(), option.([]metric.RecordOption)...)
 }
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -17,9 +17,18 @@
 	"bronzestair/io/backend"
 )
 
+// callerCheck is how often a waiting caller's connection is looked at.
+const callerCheck = 20 * time.Millisecond
+
 // deadlineRecheck is when a deadline is reported again that the reducer's clock had not reached.
 const deadlineRecheck = 5 * time.Millisecond
 
+// The options of the spans of a request.
+var (
+	serverSpan = []trace.SpanStartOption{trace.WithSpanKind(trace.SpanKindServer)}
+	clientSpan = []trace.SpanStartOption{trace.WithSpanKind(trace.SpanKindClient)}
+)
+
 var traceContext propagation.TraceContext
 
 // serve takes one request from its head to the end of its answer.
@@ -27,11 +36,11 @@
 	r := c.Request()
 	w := c.Response().Writer
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := s.tracer.Start(ctx, "caller.request", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := s.tracer.Start(ctx, "caller.request", serverSpan...)
 	defer span.End()
 
 	ex := s.exchanges.open()
-	defer s.exchanges.close(ex)
+	defer s.exchanges.release(ex)
 	if p := s.prepare(ex, w, r); p != nil {
 		return p.write(w)
 	}
@@ -49,6 +58,10 @@
 // prepare reads the request as far as it has to be known before it is decided on.
 func (s *Server) prepare(ex *exchange, w http.ResponseWriter, r *http.Request) *problem {
 	ex.received = time.Now()
+	ex.conn = connOf(r.Context())
+	if r.URL.Path == refusedPath && ex.conn != nil && ex.conn.refusal != nil {
+		return ex.conn.refusal
+	}
 	call, p := parseCall(r, s.trustCaller)
 	if p != nil {
 		return p
@@ -65,26 +78,21 @@
 	}
 	ex.call = call
 	ex.deadline = ex.received.Add(call.timeout)
-	if r.ContentLength != 0 {
-		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(ex.deadline)
+	if r.ContentLength < 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
 	}
 	ex.body, p = readBody(r, s.limits.BodyBytes)
 	if p != nil {
 		return p
 	}
-	if ex.body.held != nil {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	}
 	ex.request = outgoing(r, ex)
 	return nil
 }
 
 // outgoing returns the head that goes to a backend server.
 func outgoing(r *http.Request, ex *exchange) *http.Request {
-	header := make(http.Header, len(r.Header)+4)
-	copyEndToEnd(header, r.Header)
+	header := r.Header
+	dropHopHeaders(header)
 	delete(header, "Expect")
 	delete(header, "Content-Length")
 	if _, ok := header["User-Agent"]; !ok {
@@ -114,9 +122,10 @@
 		Idempotent: ex.call.idempotent,
 		Deadline:   ex.deadline,
 	}
+	ex.users.Add(1)
 	s.loop.Submit(&ex.arrived)
 	for {
-		effect := s.await(ctx, ex)
+		effect := s.await(ex)
 		switch effect.Kind {
 		case entry.Dispatch:
 			if v, ended := s.attempt(ctx, ex, effect, w); ended {
@@ -135,60 +144,73 @@
 
 // await returns the next effect for the exchange. Meanwhile it reports the
 // deadline and the caller's leaving.
-func (s *Server) await(ctx context.Context, ex *exchange) entry.Effect {
+func (s *Server) await(ex *exchange) entry.Effect {
 	select {
 	case effect := <-ex.effects:
 		return effect
 	default:
 	}
-	timer := time.NewTimer(time.Until(ex.deadline))
+	timer := time.NewTimer(nextCheck(ex.deadline))
 	defer timer.Stop()
-	left := ctx.Done()
 	for {
 		select {
 		case effect := <-ex.effects:
+			s.reportCaller(ex)
 			return effect
-		case <-left:
-			left = nil
-			s.loop.Submit(&entry.CallerLeft{Request: ex.id})
 		case <-timer.C:
-			s.loop.Submit(&entry.DeadlinePassed{Request: ex.id})
-			timer.Reset(deadlineRecheck)
+			s.reportCaller(ex)
+			if !time.Now().Before(ex.deadline) {
+				s.loop.Submit(&entry.DeadlinePassed{Request: ex.id})
+			}
+			timer.Reset(nextCheck(ex.deadline))
 		}
 	}
 }
 
+// nextCheck returns when a waiting request is looked after again.
+func nextCheck(deadline time.Time) time.Duration {
+	return min(callerCheck, max(time.Until(deadline), deadlineRecheck))
+}
+
 // attempt carries out a dispatch and reports how it ended. A streamed answer
 // ends the exchange; otherwise the reducer's next effect says what to do.
 func (s *Server) attempt(ctx context.Context, ex *exchange, effect entry.Effect, w http.ResponseWriter) (v verdict.Verdict, ended bool) {
-	spanCtx, span := s.tracer.Start(ctx, "backend.attempt", trace.WithSpanKind(trace.SpanKindClient))
-	defer span.End()
-	traceContext.Inject(spanCtx, propagation.HeaderCarrier(ex.request.Header))
+	span := trace.SpanFromContext(ctx)
+	if span.IsRecording() {
+		ctx, span = s.tracer.Start(ctx, "backend.attempt", clientSpan...)
+		defer span.End()
+	}
+	traceContext.Inject(ctx, propagation.HeaderCarrier(ex.request.Header))
+	if ex.left {
+		s.reportAttempt(ex, effect, entry.NotSent)
+		return verdict.NotRun, false
+	}
 	answer, err := s.send(ex, effect, w)
 	if err != nil {
 		span.RecordError(err)
 		s.logger.Debug("attempt failed", "service", ex.call.service, "runner", effect.Runner, "error", err)
-		s.reportAttempt(ctx, ex, effect, resultOf(err))
+		s.reportAttempt(ex, effect, resultOf(err))
 		return verdict.NotRun, false
 	}
 	defer answer.Close()
 	if !answer.Whole {
-		return s.stream(ctx, ex, effect, answer, w)
+		return s.stream(ex, effect, answer, w)
 	}
 	answer.Close()
 	ex.answer = answer
-	s.reportAttempt(ctx, ex, effect, resultOfStatus(answer.Status))
+	s.reportAttempt(ex, effect, resultOfStatus(answer.Status))
 	return verdict.NotRun, false
 }
 
 // send sends one attempt.
 func (s *Server) send(ex *exchange, effect entry.Effect, w http.ResponseWriter) (*backend.Answer, error) {
-	address, ok := s.directory.RunnerAddress(effect.Runner)
+	endpoint, ok := s.directory.Runner(effect.Runner)
 	if !ok {
 		return nil, &backend.Error{Verdict: verdict.NotRun}
 	}
 	attempt := backend.Attempt{
-		Address:  address,
+		Address:  endpoint.Address,
+		MaxIdle:  endpoint.Connections,
 		Request:  ex.request,
 		Body:     ex.body.held,
 		Deadline: ex.deadline,
@@ -197,26 +219,26 @@
 	if ex.body.stream != nil {
 		control := http.NewResponseController(w)
 		attempt.Stream = ex.body.stream
-		attempt.StopStream = func() {
-			ex.stopped = true
-			_ = control.SetReadDeadline(time.Now())
-		}
+		attempt.StopStream = func() { _ = control.SetReadDeadline(time.Now()) }
 	}
 	// The attempt goes on when the caller leaves: its verdict must be known.
 	return s.sender.Send(context.Background(), attempt)
 }
 
-// reportCaller tells the reducer if the caller has left. A body that the entry
-// itself stopped reading looks the same to the library and does not count.
-func (s *Server) reportCaller(ctx context.Context, ex *exchange) {
-	if ctx.Err() != nil && !ex.stopped {
-		s.loop.Submit(&entry.CallerLeft{Request: ex.id})
+// reportCaller tells the reducer if the caller has left.
+func (s *Server) reportCaller(ex *exchange) {
+	if ex.left || ex.conn == nil || !ex.conn.gone() {
+		return
 	}
+	ex.left = true
+	s.loop.Submit(&entry.CallerLeft{Request: ex.id})
 }
 
 // reportAttempt tells the reducer how an attempt ended.
-func (s *Server) reportAttempt(ctx context.Context, ex *exchange, effect entry.Effect, result entry.Result) {
-	s.reportCaller(ctx, ex)
+func (s *Server) reportAttempt(ex *exchange, effect entry.Effect, result entry.Result) {
+	if time.Since(ex.received) > callerCheck {
+		s.reportCaller(ex)
+	}
 	ex.attempted = entry.AttemptEnded{
 		Request:  ex.id,
 		Attempt:  effect.Attempt,
@@ -248,12 +270,10 @@
 // deliver writes a whole answer and reports whether the caller's connection took it.
 func (s *Server) deliver(ex *exchange, w http.ResponseWriter) verdict.Verdict {
 	answer := ex.answer
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(ex.deadline.Add(writeGrace))
 	writeHead(w, answer)
 	_, err := w.Write(answer.Held)
 	if err == nil {
-		err = control.Flush()
+		err = http.NewResponseController(w).Flush()
 	}
 	return s.reportDelivered(ex, err == nil)
 }
@@ -269,17 +289,15 @@
 
 // stream passes a large answer on while it comes. A caller whose answer is cut
 // off sees its connection break.
-func (s *Server) stream(ctx context.Context, ex *exchange, effect entry.Effect, answer *backend.Answer, w http.ResponseWriter) (v verdict.Verdict, ended bool) {
-	s.reportCaller(ctx, ex)
+func (s *Server) stream(ex *exchange, effect entry.Effect, answer *backend.Answer, w http.ResponseWriter) (v verdict.Verdict, ended bool) {
+	s.reportCaller(ex)
 	ex.started = entry.AnswerStarted{Request: ex.id, Attempt: effect.Attempt}
 	s.loop.Submit(&ex.started)
 	if next := <-ex.effects; next.Kind != entry.Deliver {
 		answer.Close()
-		s.reportAttempt(ctx, ex, effect, entry.Broken)
+		s.reportAttempt(ex, effect, entry.Broken)
 		return verdict.MayHaveRun, false
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(ex.deadline.Add(writeGrace))
 	writeHead(w, answer)
 	_, err := w.Write(answer.Held)
 	if err == nil {
@@ -290,9 +308,9 @@
 	if !answer.Whole {
 		result = entry.Broken
 	}
-	s.reportAttempt(ctx, ex, effect, result)
+	s.reportAttempt(ex, effect, result)
 	if err == nil {
-		err = control.Flush()
+		err = http.NewResponseController(w).Flush()
 	}
 	v = s.reportDelivered(ex, err == nil)
 	if err != nil {
@@ -304,7 +322,10 @@
 // writeHead passes the head of an answer on.
 func writeHead(w http.ResponseWriter, answer *backend.Answer) {
 	h := w.Header()
-	copyEndToEnd(h, answer.Header)
+	dropHopHeaders(answer.Header)
+	for name, values := range answer.Header {
+		h[name] = values
+	}
 	h[HeaderVerdict] = []string{verdict.Answered.String()}
 	if answer.Whole && bodyAllowed(answer) {
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Held))}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -47,7 +47,13 @@
 // Directory knows the configuration in force.
 type Directory interface {
 	Service(service.ID) (service.Service, bool)
-	RunnerAddress(runner.ID) (netip.AddrPort, bool)
+	Runner(runner.ID) (Endpoint, bool)
+}
+
+// Endpoint is where a runner is reached, and by how many connections of this entry.
+type Endpoint struct {
+	Address     netip.AddrPort
+	Connections int
 }
 
 // Books takes the line in which a request ends.
@@ -62,6 +68,11 @@
 	Connections int
 	// HeaderTimeout bounds the time that a caller takes to send a head.
 	HeaderTimeout time.Duration
+	// BodyTimeout bounds the time that a caller takes to send a body.
+	BodyTimeout time.Duration
+	// WriteTimeout bounds, within a factor of two, the time that a caller takes
+	// to accept bytes of an answer.
+	WriteTimeout time.Duration
 	// IdleTimeout bounds the time between two requests on a connection.
 	IdleTimeout time.Duration
 }
@@ -71,9 +82,9 @@
 	defaultHeaderBytes   = 16 << 10
 	defaultConnections   = 4096
 	defaultHeaderTimeout = 5 * time.Second
+	defaultBodyTimeout   = 30 * time.Second
+	defaultWriteTimeout  = 30 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
-	// writeGrace is how long after its deadline a caller may take to read an answer.
-	writeGrace = 10 * time.Second
 )
 
 func (l Limits) withDefaults() Limits {
@@ -89,6 +100,12 @@
 	if l.HeaderTimeout == 0 {
 		l.HeaderTimeout = defaultHeaderTimeout
 	}
+	if l.BodyTimeout == 0 {
+		l.BodyTimeout = defaultBodyTimeout
+	}
+	if l.WriteTimeout == 0 {
+		l.WriteTimeout = defaultWriteTimeout
+	}
 	if l.IdleTimeout == 0 {
 		l.IdleTimeout = defaultIdleTimeout
 	}
@@ -142,18 +159,26 @@
 	e := echo.New()
 	e.Any("/*", s.serve)
 	s.http = &http.Server{
-		Handler:           e,
-		ReadHeaderTimeout: s.limits.HeaderTimeout,
-		IdleTimeout:       s.limits.IdleTimeout,
-		MaxHeaderBytes:    s.limits.HeaderBytes,
-		ErrorLog:          slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
+		Handler: e,
+		// The connection bounds heads and times itself.
+		MaxHeaderBytes: 2 * s.limits.HeaderBytes,
+		ErrorLog:       slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if own, ok := c.(*conn); ok {
+				own.active.Store(state == http.StateActive)
+			}
+		},
 	}
 	return s
 }
 
 // Serve accepts callers until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(netutil.LimitListener(l, s.limits.Connections))
+	limited := netutil.LimitListener(l, s.limits.Connections)
+	err := s.http.Serve(&listener{Listener: limited, limits: s.limits})
 	if err == http.ErrServerClosed {
 		return nil
 	}
@@ -177,6 +202,7 @@
 			Verdict: effect.Verdict,
 			At:      time.Now(),
 		})
+		s.exchanges.release(ex)
 		return
 	}
 	ex.effects <- effect
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -12,6 +12,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -25,6 +26,7 @@
 	PathReady   = "/readyz"
 	PathStatus  = "/status"
 	PathMetrics = "/metrics"
+	PathProfile = "/debug/pprof/profile"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -57,6 +59,7 @@
 		return c.JSON(http.StatusOK, source.Status())
 	})
 	e.GET(PathMetrics, echo.WrapHandler(metrics))
+	e.GET(PathProfile, echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
 	return &Server{http: &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}}
 }
 
--- a/loop.go
+++ b/loop.go
@@ -18,14 +18,29 @@
 
 // Loop runs the reducer: it puts events in an order, gives them time and
 // randomness, and passes the effects to their handlers. Use NewLoop.
+//
+// Whoever submits an event while no other is reduced reduces it, and all that
+// arrive meanwhile. The others go on at once and hear of the effects through
+// the handlers. That is flat combining (Hendler, Incze, Shavit and Tzafrir, 2010).
 type Loop struct {
-	mu       sync.Mutex
+	mu      sync.Mutex
+	queue   []work
+	reduces bool
+
+	// The rest belongs to whoever reduces.
+	spare    []work
 	state    *entry.State
 	effects  []entry.Effect
 	random   *rand.Rand
 	handlers [entry.EffectKinds]prioritized
 }
 
+// work is an event to reduce or a look at the state.
+type work struct {
+	event entry.Event
+	look  func(*entry.State)
+}
+
 // prioritized is a handler and its priority. The lowest priority wins.
 type prioritized struct {
 	handler  EffectHandler
@@ -42,10 +57,9 @@
 }
 
 // Register makes a handler carry out its kinds of effects. Of two handlers of
-// a kind, the one with the lower priority is used.
+// a kind, the one with the lower priority is used. It must come before the
+// first event.
 func (l *Loop) Register(h EffectHandler, priority int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for _, kind := range h.Kinds() {
 		p := &l.handlers[kind]
 		if p.handler == nil || priority < p.priority {
@@ -54,22 +68,51 @@
 	}
 }
 
-// Submit reduces an event and passes its effects on.
-func (l *Loop) Submit(event entry.Event) {
+// Submit has an event reduced and its effects passed on. It may return before
+// that, so the event must not be changed until an effect shows that it was reduced.
+func (l *Loop) Submit(event entry.Event) { l.do(work{event: event}) }
+
+// Status returns what operators may see of the state.
+func (l *Loop) Status() entry.Status {
+	seen := make(chan entry.Status, 1)
+	l.do(work{look: func(s *entry.State) { seen <- s.Status() }})
+	return <-seen
+}
+
+// do queues work, and does all that is queued unless somebody is at it.
+func (l *Loop) do(w work) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	event.Stamp(time.Now(), l.random.Uint64())
-	l.effects = l.state.Reduce(event, l.effects[:0])
+	l.queue = append(l.queue, w)
+	if l.reduces {
+		l.mu.Unlock()
+		return
+	}
+	l.reduces = true
+	for len(l.queue) > 0 {
+		batch := l.queue
+		l.queue = l.spare[:0]
+		l.mu.Unlock()
+		for i := range batch {
+			l.reduce(batch[i])
+			batch[i] = work{}
+		}
+		l.spare = batch
+		l.mu.Lock()
+	}
+	l.reduces = false
+	l.mu.Unlock()
+}
+
+func (l *Loop) reduce(w work) {
+	if w.look != nil {
+		w.look(l.state)
+		return
+	}
+	w.event.Stamp(time.Now(), l.random.Uint64())
+	l.effects = l.state.Reduce(w.event, l.effects[:0])
 	for _, effect := range l.effects {
 		if h := l.handlers[effect.Kind].handler; h != nil {
 			h.Handle(effect)
 		}
 	}
 }
-
-// Status returns what operators may see of the state.
-func (l *Loop) Status() entry.Status {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.Status()
-}
--- a/prober.go
+++ b/prober.go
@@ -37,16 +37,16 @@
 }
 
 func (p *prober) probe(id runner.ID) bool {
-	address, ok := p.entry.directory.RunnerAddress(id)
+	endpoint, ok := p.entry.directory.Runner(id)
 	if !ok {
 		return false
 	}
 	answer, err := p.entry.backend.Send(context.Background(), backend.Attempt{
-		Address: address,
+		Address: endpoint.Address,
 		Request: &http.Request{
 			Method: http.MethodGet,
 			URL:    &url.URL{Path: probePath},
-			Host:   address.String(),
+			Host:   endpoint.Address.String(),
 			Header: http.Header{probeHeader: {"1"}},
 		},
 		Deadline: time.Now().Add(probeTimeout),
