Lend slots of runners between entries over gRPC

Cause: each entry used only its own share of a runner's slots. Change: every slot has a home entry, which lends it to peers for a term; loans carry the ask they were made for, a lost answer voids the ask, a new incarnation first hears what peers hold. gRPC carries the messages.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -36,6 +36,7 @@
 	"bronzestair/io/caller"
 	"bronzestair/io/operator"
 	"bronzestair/io/otel"
+	"bronzestair/io/peer"
 	"bronzestair/io/platform"
 )
 
@@ -53,6 +54,7 @@
 	settings         settings.Settings
 	callerListener   net.Listener
 	operatorListener net.Listener
+	peerListener     net.Listener
 	logger           *slog.Logger
 	telemetry        *otel.Telemetry
 	closeTelemetry   bool
@@ -64,6 +66,7 @@
 	books     *platform.Books
 	server    *caller.Server
 	operators *operator.Server
+	peers     *peer.Peers
 	stopping  atomic.Bool
 }
 
@@ -85,6 +88,9 @@
 // WithOperatorListener serves operators on an open listener.
 func WithOperatorListener(l net.Listener) Option { return func(e *Entry) { e.operatorListener = l } }
 
+// WithPeerListener serves peers on an open listener.
+func WithPeerListener(l net.Listener) Option { return func(e *Entry) { e.peerListener = l } }
+
 // WithLogger sets where logs go.
 func WithLogger(l *slog.Logger) Option { return func(e *Entry) { e.logger = l } }
 
@@ -130,8 +136,10 @@
 		caller.WithTracer(e.telemetry.Tracer()),
 		caller.WithMeter(e.telemetry.Meter()),
 		caller.WithLogger(e.logger))
+	e.peers = peer.New(s.Entry, e.loop, &e.directory, e.logger)
 	e.operators = operator.NewServer(e, e.telemetry.Handler())
 	e.loop.Register(e.server, DefaultPriority)
+	e.loop.Register(e.peers, DefaultPriority)
 	e.loop.Register(&prober{entry: e}, DefaultPriority)
 	e.observe()
 }
@@ -163,28 +171,28 @@
 // Run serves until the context ends, then ends gracefully: readiness goes off
 // first, no request in flight is cut off, and all book lines are filed.
 func (e *Entry) Run(ctx context.Context) error {
-	callers, err := listen(e.callerListener, e.settings.CallerAddress, "callers")
-	if err != nil {
-		return err
-	}
-	operators, err := listen(e.operatorListener, e.settings.OperatorAddress, "operators")
+	listeners, err := e.listen()
 	if err != nil {
-		callers.Close()
 		return err
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	var group errgroup.Group
-	group.Go(func() error { return e.server.Serve(callers) })
-	group.Go(func() error { return e.operators.Serve(operators) })
+	group.Go(func() error { return e.server.Serve(listeners.callers) })
+	group.Go(func() error { return e.operators.Serve(listeners.operators) })
+	group.Go(func() error { return e.peers.Serve(listeners.peers) })
 	group.Go(func() error { e.pollPlatform(background); return nil })
 	group.Go(func() error { e.tick(background); return nil })
 	group.Go(func() error { e.books.Run(background); return nil })
-	e.logger.Info("serving", "callers", callers.Addr().String(), "operators", operators.Addr().String())
+	e.logger.Info("serving",
+		"callers", listeners.callers.Addr().String(),
+		"operators", listeners.operators.Addr().String(),
+		"peers", listeners.peers.Addr().String())
 
 	<-ctx.Done()
 	err = e.drain(background)
 	stopBackground()
+	e.peers.Close()
 	return errors.Join(err, group.Wait(), e.finish())
 }
 
@@ -197,10 +205,31 @@
 	return errors.Join(err, e.operators.Shutdown(ctx))
 }
 
-// listen returns the open listener, or opens one on an address.
-func listen(open net.Listener, address netip.AddrPort, whom string) (net.Listener, error) {
-	if open != nil {
-		return open, nil
+// listeners are the open addresses of an entry.
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+// listen opens all addresses, or none.
+func (e *Entry) listen() (l listeners, err error) {
+	if l.callers, err = open(e.callerListener, e.settings.CallerAddress, "callers"); err != nil {
+		return l, err
+	}
+	if l.operators, err = open(e.operatorListener, e.settings.OperatorAddress, "operators"); err != nil {
+		l.callers.Close()
+		return l, err
+	}
+	if l.peers, err = open(e.peerListener, e.settings.PeerAddress, "peers"); err != nil {
+		l.callers.Close()
+		l.operators.Close()
+	}
+	return l, err
+}
+
+// open returns the given listener, or opens one on an address.
+func open(given net.Listener, address netip.AddrPort, whom string) (net.Listener, error) {
+	if given != nil {
+		return given, nil
 	}
 	l, err := net.Listen("tcp", address.String())
 	return l, merry.Prependf(err, "listening for %s", whom)
--- a/cmd/bronzestair/demo_fleet.go
+++ b/cmd/bronzestair/demo_fleet.go
@@ -37,6 +37,7 @@
 	client   *platform.Client
 	entries  []*bronzestair.Entry
 	callers  []net.Listener
+	peers    []net.Listener
 	cancel   context.CancelFunc
 	group    errgroup.Group
 }
@@ -90,22 +91,30 @@
 	return nil
 }
 
-// listen opens the callers' addresses and names the entries.
+// listen opens the entries' addresses and names them.
 func (f *demoFleet) listen() error {
 	for i := range demoEntries {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		callers, err := loopback()
 		if err != nil {
 			return err
 		}
-		f.callers = append(f.callers, l)
+		peers, err := loopback()
+		if err != nil {
+			return err
+		}
+		f.callers = append(f.callers, callers)
+		f.peers = append(f.peers, peers)
 		f.config.Entries = append(f.config.Entries, fleet.Entry{
 			ID:          demoEntryID(i),
-			PeerAddress: l.Addr().(*net.TCPAddr).AddrPort(),
+			PeerAddress: peers.Addr().(*net.TCPAddr).AddrPort(),
 		})
 	}
 	return nil
 }
 
+// loopback opens a free port.
+func loopback() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
 func demoEntryID(i int) fleet.EntryID { return fleet.EntryID(fmt.Sprintf("entry-%d", i+1)) }
 
 // configure writes the configuration and the list of instances to the platform.
@@ -127,7 +136,7 @@
 }
 
 func (f *demoFleet) startEntry(ctx context.Context, i int, platformAddress netip.AddrPort) error {
-	operators, err := net.Listen("tcp", "127.0.0.1:0")
+	operators, err := loopback()
 	if err != nil {
 		return err
 	}
@@ -140,6 +149,7 @@
 		bronzestair.WithSettings(s),
 		bronzestair.WithCallerListener(f.callers[i]),
 		bronzestair.WithOperatorListener(operators),
+		bronzestair.WithPeerListener(f.peers[i]),
 	)
 	if err != nil {
 		return err
--- a/core/entry/arrival.go
+++ b/core/entry/arrival.go
@@ -23,6 +23,7 @@
 	default:
 		s.enqueue(r)
 		s.serve(svc)
+		s.ask(svc)
 	}
 }
 
--- a/core/entry/attempt.go
+++ b/core/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bronzestair/core/verdict"
+	"time"
 )
 
 // latencyWeight is the weight of the newest sample in a smoothed latency.
@@ -41,7 +42,7 @@
 	for i, r := range svc.runners {
 		svc.loads[i].Busy = r.ledger.Busy().Count()
 		svc.loads[i].Latency = r.latency
-		svc.loads[i].Free = r.usable()
+		svc.loads[i].Free = r.usable(s.now)
 		if r == avoid {
 			svc.loads[i].Free = 0
 		}
@@ -54,11 +55,11 @@
 }
 
 // usable returns how many requests this entry may start on the runner now.
-func (r *runnerState) usable() int {
+func (r *runnerState) usable(now time.Time) int {
 	if r.leaving || r.health.Out() {
 		return 0
 	}
-	free := r.ledger.Free().Count()
+	free := r.ledger.Free(now).Count()
 	return min(free, max(r.connectionShare-r.ledger.Busy().Count(), 0))
 }
 
--- a/core/entry/configuration.go
+++ b/core/entry/configuration.go
@@ -6,14 +6,19 @@
 	"bronzestair/core/runner"
 	"bronzestair/core/service"
 	"bronzestair/core/slot"
+	"time"
 )
 
+// configurationSpread is the longest time until a configuration is in force everywhere.
+const configurationSpread = 19 * time.Second
+
 // configured puts a newer configuration in force. What is known of runners
 // and services that stay is kept.
 func (s *State) configured(e *Configured) {
 	if e.Fleet.Version <= s.Version() {
 		return
 	}
+	first := s.fleet == nil
 	s.fleet = e.Fleet
 	services := make(map[service.ID]*serviceState, len(e.Fleet.Services))
 	runners := make(map[runner.ID]*runnerState, len(e.Fleet.Runners))
@@ -31,6 +36,7 @@
 	}
 	s.services = services
 	s.runners = runners
+	s.learnPeers(first)
 	for _, config := range e.Fleet.Services {
 		s.serve(services[config.ID])
 	}
@@ -46,14 +52,19 @@
 	return svc
 }
 
+// runnerFor returns the state of a runner under a configuration that is newer
+// than the one in force.
 func (s *State) runnerFor(config runner.Runner, f *fleet.Fleet) *runnerState {
+	homes := slot.Homes(f.EntryIDs(), string(config.ID), config.SlotCount())
 	state, ok := s.runners[config.ID]
 	if !ok {
-		ids := f.EntryIDs()
-		homes := slot.Homes(ids, string(config.ID), config.SlotCount())
 		state = &runnerState{ledger: slot.NewLedger(homes[s.self], config.SlotCount())}
+	} else if homes[s.self] != state.homes[s.self] || config.SlotCount() != state.config.SlotCount() {
+		until := s.now.Add(state.holdTime() + configurationSpread)
+		state.ledger.Rehome(homes[s.self], config.SlotCount(), until)
 	}
 	state.config = config
+	state.homes = homes
 	state.connectionShare = config.ConnectionShare(len(f.Entries))
 	return state
 }
--- a/core/entry/effect.go
+++ b/core/entry/effect.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"time"
 
+	"bronzestair/core/fleet"
 	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/slot"
 	"bronzestair/core/verdict"
 )
 
@@ -26,6 +29,16 @@
 	Probe
 	// Stopped says that no request is left after Stopping.
 	Stopped
+	// AskSlots asks Peer for Count slots of Service.
+	AskSlots
+	// LendSlots answers a peer's Ask with Loans.
+	LendSlots
+	// ReturnSlots gives Loans, and all that Ask may have brought, back to Peer.
+	ReturnSlots
+	// AskHeld asks Peer which slots of this entry it has.
+	AskHeld
+	// TellHeld answers a peer's Ask with the Loans that this entry has of it.
+	TellHeld
 	// EffectKinds is the number of kinds.
 	EffectKinds
 )
@@ -33,6 +46,8 @@
 var effectNames = [EffectKinds]string{
 	Dispatch: "dispatch", Refuse: "refuse", Deliver: "deliver", Discard: "discard",
 	Record: "record", Probe: "probe", Stopped: "stopped",
+	AskSlots: "askSlots", LendSlots: "lendSlots", ReturnSlots: "returnSlots",
+	AskHeld: "askHeld", TellHeld: "tellHeld",
 }
 
 // String returns the camel case name.
@@ -52,6 +67,12 @@
 	Request  RequestID
 	Runner   runner.ID
 	NotAfter time.Time
+	// The fields from here on are for effects between entries.
+	Peer    fleet.EntryID
+	Service service.ID
+	Count   int
+	Ask     slot.AskID
+	Loans   []slot.Loan
 }
 
 // Reason says why a request has no answer.
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -6,6 +6,7 @@
 	"bronzestair/core/fleet"
 	"bronzestair/core/runner"
 	"bronzestair/core/service"
+	"bronzestair/core/slot"
 )
 
 // RequestID names a request at one entry. The low half is an index that is
@@ -130,3 +131,47 @@
 type Stopping struct {
 	Meta
 }
+
+// SlotsWanted says that a peer asks for slots of a service.
+type SlotsWanted struct {
+	Meta
+	Peer    fleet.EntryID
+	Service service.ID
+	Count   int
+	Ask     slot.AskID
+}
+
+// SlotsBorrowed is what came of an ask of this entry: loans, or none. Failed
+// says that no answer came, so that the peer may have lent slots all the same.
+type SlotsBorrowed struct {
+	Meta
+	Peer    fleet.EntryID
+	Service service.ID
+	Ask     slot.AskID
+	AskedAt time.Time
+	Loans   []slot.Loan
+	Failed  bool
+}
+
+// SlotsReturned says that a peer gives loans back. Void also takes back
+// whatever is lent for that ask, now or later; 0 stands for no ask.
+type SlotsReturned struct {
+	Meta
+	Peer  fleet.EntryID
+	Loans []slot.Loan
+	Void  slot.AskID
+}
+
+// HeldAsked says that a peer that has started asks which of its slots this entry has.
+type HeldAsked struct {
+	Meta
+	Peer fleet.EntryID
+	Ask  slot.AskID
+}
+
+// HeldTold says which slots of this entry a peer has.
+type HeldTold struct {
+	Meta
+	Peer  fleet.EntryID
+	Loans []slot.Loan
+}
--- a/core/entry/health.go
+++ b/core/entry/health.go
@@ -27,7 +27,7 @@
 	return max(1, int(maxEjectedShare*float64(n)))
 }
 
-// ticked sends the probes that are due.
+// ticked sends the probes that are due, and sees to borrowed and lent slots.
 func (s *State) ticked() {
 	for _, config := range s.fleetServices() {
 		svc := s.services[config.ID]
@@ -36,8 +36,11 @@
 				s.emit(Effect{Kind: Probe, Runner: r.config.ID})
 			}
 		}
+		s.settleLoans(svc)
 		s.serve(svc)
+		s.ask(svc)
 	}
+	s.askHeld()
 }
 
 // probeEnded brings a runner back, or waits longer.
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -41,6 +41,7 @@
 	requests []request
 	active   int
 	stopping bool
+	lending  lending
 	now      time.Time
 	random   uint64
 	effects  []Effect
@@ -55,6 +56,7 @@
 	retries retry.Budget
 	// latency is the smoothed time of a whole answer, in nanoseconds.
 	latency float64
+	asking  asking
 }
 
 // runnerState is what the entry knows of one runner.
@@ -62,6 +64,7 @@
 	config  runner.Runner
 	service *serviceState
 	ledger  slot.Ledger
+	homes   map[fleet.EntryID]slot.Mask
 	health  runner.Health
 	// connectionShare bounds this entry's requests in flight.
 	connectionShare int
@@ -120,6 +123,21 @@
 	case *ProbeEnded:
 		s.begin(e.Meta)
 		s.probeEnded(e)
+	case *SlotsWanted:
+		s.begin(e.Meta)
+		s.slotsWanted(e)
+	case *SlotsBorrowed:
+		s.begin(e.Meta)
+		s.slotsBorrowed(e)
+	case *SlotsReturned:
+		s.begin(e.Meta)
+		s.slotsReturned(e)
+	case *HeldAsked:
+		s.begin(e.Meta)
+		s.heldAsked(e)
+	case *HeldTold:
+		s.begin(e.Meta)
+		s.heldTold(e)
 	case *Ticked:
 		s.begin(e.Meta)
 		s.ticked()
--- a/core/slot/ledger.go
+++ b/core/slot/ledger.go
@@ -24,6 +24,17 @@
 	NotAfter time.Time
 }
 
+// AskID names one request of a peer for slots.
+type AskID uint64
+
+// Loan is one slot that a peer has. Ask tells a loan from an earlier one of
+// the same slot.
+type Loan struct {
+	Runner string
+	Slot   Index
+	Ask    AskID
+}
+
 // Ledger is what one entry knows of one runner's slots.
 //
 // The zero value holds no slot.
@@ -33,7 +44,9 @@
 	borrowed      Mask
 	busy          Mask
 	lentUntil     []time.Time
+	lentAsk       []AskID
 	borrowedUntil []time.Time
+	borrowedAsk   []AskID
 }
 
 // NewLedger returns the ledger of an entry that is home to the slots of home.
@@ -41,12 +54,44 @@
 	return Ledger{
 		home:          home,
 		lentUntil:     make([]time.Time, slots),
+		lentAsk:       make([]AskID, slots),
 		borrowedUntil: make([]time.Time, slots),
+		borrowedAsk:   make([]AskID, slots),
 	}
 }
 
-// Slots returns the number of slots of the runner.
-func (l *Ledger) Slots() int { return len(l.lentUntil) }
+// Rehome changes which slots are at home here, and how many the runner has. A
+// slot that comes home is withheld until the given time, so that its former
+// home has stopped using it. Requests in flight go on.
+func (l *Ledger) Rehome(home Mask, slots int, until time.Time) {
+	l.resize(slots)
+	gained := home &^ l.home
+	l.home = home
+	l.lent &= home
+	l.borrowed &^= home
+	for m := gained; m != 0; {
+		i := m.First()
+		m = m.Without(i)
+		l.markLent(i, withheld, until)
+	}
+}
+
+// resize keeps what is known of the first slots.
+func (l *Ledger) resize(slots int) {
+	all := ^Mask(0)
+	if slots < Max {
+		all = 1<<slots - 1
+	}
+	l.lent &= all
+	l.borrowed &= all
+	// A slot that is gone may be busy for a while: keep room for it.
+	for len(l.lentUntil) < slots {
+		l.lentUntil = append(l.lentUntil, time.Time{})
+		l.lentAsk = append(l.lentAsk, withheld)
+		l.borrowedUntil = append(l.borrowedUntil, time.Time{})
+		l.borrowedAsk = append(l.borrowedAsk, withheld)
+	}
+}
 
 // Held returns the slots on which this entry may start requests, the busy ones included.
 func (l *Ledger) Held() Mask { return l.home&^l.lent | l.borrowed }
@@ -55,7 +100,17 @@
 func (l *Ledger) Busy() Mask { return l.busy }
 
 // Free returns the slots on which this entry may start a request now.
-func (l *Ledger) Free() Mask { return l.Held() &^ l.busy }
+func (l *Ledger) Free(now time.Time) Mask {
+	free := l.Held() &^ l.busy
+	for m := l.borrowed & free; m != 0; {
+		i := m.First()
+		m = m.Without(i)
+		if !now.Before(l.borrowedUntil[i]) {
+			free = free.Without(i)
+		}
+	}
+	return free
+}
 
 // Take marks a free slot as busy. It prefers a borrowed slot, so that slots at
 // home stay free to be lent.
@@ -80,52 +135,87 @@
 // Release marks a slot as no longer busy.
 func (l *Ledger) Release(i Index) { l.busy = l.busy.Without(i) }
 
+// FreeAtHome returns the slots that can be lent now.
+func (l *Ledger) FreeAtHome() Mask { return l.home &^ l.lent &^ l.busy }
+
 // Lend gives a free slot at home to a peer. The slot comes back by Return, or
 // by Reclaim once until has passed.
-func (l *Ledger) Lend(until time.Time) (Index, bool) {
-	free := l.home &^ l.lent &^ l.busy
+func (l *Ledger) Lend(ask AskID, until time.Time) (Index, bool) {
+	free := l.FreeAtHome()
 	if free == 0 {
 		return 0, false
 	}
 	i := free.First()
+	l.markLent(i, ask, until)
+	return i, true
+}
+
+func (l *Ledger) markLent(i Index, ask AskID, until time.Time) {
 	l.lent = l.lent.With(i)
 	l.lentUntil[i] = until
-	return i, true
+	l.lentAsk[i] = ask
 }
 
+// withheld is the ask of slots that a former incarnation may have lent.
+const withheld AskID = 0
+
 // Withhold treats every slot at home as lent until the given time, because a
 // former incarnation of this entry may have lent it.
 func (l *Ledger) Withhold(until time.Time) {
 	for m := l.home &^ l.lent; m != 0; {
 		i := m.First()
-		l.lent = l.lent.With(i)
-		l.lentUntil[i] = until
+		l.markLent(i, withheld, until)
 		m = m.Without(i)
 	}
 }
 
-// Return takes a lent slot back. It does nothing for a slot that is not lent.
-func (l *Ledger) Return(i Index) {
-	if int(i) < len(l.lentUntil) {
+// Confirm notes that a peer holds a loan of a former incarnation.
+func (l *Ledger) Confirm(i Index, ask AskID, until time.Time) {
+	if l.home.Has(i) && l.lentAsk[i] == withheld {
+		l.markLent(i, ask, until)
+	}
+}
+
+// EndWithholding frees the slots that no peer has confirmed.
+func (l *Ledger) EndWithholding() { l.ReturnAll(withheld) }
+
+// Return takes a lent slot back. It does nothing unless the slot is lent for that ask.
+func (l *Ledger) Return(i Index, ask AskID) {
+	if int(i) < len(l.lentAsk) && l.lent.Has(i) && l.lentAsk[i] == ask {
 		l.lent = l.lent.Without(i)
 	}
 }
 
+// ReturnAll takes every slot back that is lent for an ask.
+func (l *Ledger) ReturnAll(ask AskID) {
+	for m := l.lent; m != 0; {
+		i := m.First()
+		m = m.Without(i)
+		l.Return(i, ask)
+	}
+}
+
 // Lent returns the slots at home that are with a peer or withheld.
 func (l *Ledger) Lent() Mask { return l.lent }
 
-// Borrow adds a peer's slot, on which requests may start before until.
-func (l *Ledger) Borrow(i Index, until time.Time) {
-	if int(i) >= len(l.borrowedUntil) || l.home.Has(i) {
-		return
+// Borrow adds a peer's slot, on which requests may start before until. It
+// reports false for a slot that this entry has already or that does not exist.
+func (l *Ledger) Borrow(i Index, ask AskID, until time.Time) bool {
+	if int(i) >= len(l.borrowedUntil) || l.home.Has(i) || l.borrowed.Has(i) {
+		return false
 	}
 	l.borrowed = l.borrowed.With(i)
 	l.borrowedUntil[i] = until
+	l.borrowedAsk[i] = ask
+	return true
 }
 
 // Borrowed returns the slots of peers that this entry holds.
 func (l *Ledger) Borrowed() Mask { return l.borrowed }
 
+// BorrowedAsk returns the ask of a borrowed slot.
+func (l *Ledger) BorrowedAsk(i Index) AskID { return l.borrowedAsk[i] }
+
 // GiveUp takes borrowed slots out that are not busy and, unless all is set,
 // whose term has ended. The caller gives them back to their home.
 func (l *Ledger) GiveUp(now time.Time, all bool) Mask {
--- a/directory.go
+++ b/directory.go
@@ -1,6 +1,7 @@
 package bronzestair
 
 import (
+	"net/netip"
 	"sync/atomic"
 
 	"bronzestair/core/fleet"
@@ -18,6 +19,7 @@
 	version  fleet.Version
 	services map[service.ID]service.Service
 	runners  map[runner.ID]caller.Endpoint
+	peers    map[fleet.EntryID]netip.AddrPort
 }
 
 // set puts a configuration in force, unless a newer one is.
@@ -26,6 +28,10 @@
 		version:  f.Version,
 		services: make(map[service.ID]service.Service, len(f.Services)),
 		runners:  make(map[runner.ID]caller.Endpoint, len(f.Runners)),
+		peers:    make(map[fleet.EntryID]netip.AddrPort, len(f.Entries)),
+	}
+	for _, e := range f.Entries {
+		next.peers[e.ID] = e.PeerAddress
 	}
 	for _, s := range f.Services {
 		next.services[s.ID] = s
@@ -72,3 +78,13 @@
 	endpoint, ok := index.runners[id]
 	return endpoint, ok
 }
+
+// PeerAddress implements peer.Directory.
+func (d *directory) PeerAddress(id fleet.EntryID) (netip.AddrPort, bool) {
+	index := d.current.Load()
+	if index == nil {
+		return netip.AddrPort{}, false
+	}
+	a, ok := index.peers[id]
+	return a, ok
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,232 @@
+// Package peer connects entries with each other over gRPC.
+//
+// Entries lend each other slots of runners. Nothing of a request passes here.
+//
+// # Usage
+//
+//	peers := peer.New("entry-1", loop, directory)
+//	loop.Register(peers, priority)
+//	go peers.Serve(listener)
+//	defer peers.Close()
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"bronzestair/core/entry"
+	"bronzestair/core/fleet"
+	"bronzestair/core/service"
+	"bronzestair/core/slot"
+	"bronzestair/io/peer/peerpb"
+)
+
+// callTimeout bounds a call to a peer. It is below the term of a loan.
+const callTimeout = 250 * time.Millisecond
+
+// Loop runs the reducer.
+type Loop interface {
+	// Submit reduces an event and sees to its effects.
+	Submit(entry.Event)
+}
+
+// Directory knows where peers are.
+type Directory interface {
+	PeerAddress(fleet.EntryID) (netip.AddrPort, bool)
+}
+
+// Peers is an entry's side of all its connections with peers. Use New.
+type Peers struct {
+	peerpb.UnimplementedPeerServer
+	self      fleet.EntryID
+	loop      Loop
+	directory Directory
+	logger    *slog.Logger
+	server    *grpc.Server
+	ctx       context.Context
+	cancel    context.CancelFunc
+	calls     sync.WaitGroup
+
+	mu          sync.Mutex
+	closed      bool
+	connections map[netip.AddrPort]*grpc.ClientConn
+	// replies are the calls of peers that wait for the reducer.
+	replies map[replyKey]chan []slot.Loan
+}
+
+type replyKey struct {
+	peer fleet.EntryID
+	ask  slot.AskID
+}
+
+// New returns peers that are not served yet.
+func New(self fleet.EntryID, loop Loop, directory Directory, logger *slog.Logger) *Peers {
+	p := &Peers{
+		self: self, loop: loop, directory: directory, logger: logger,
+		server:      grpc.NewServer(),
+		connections: map[netip.AddrPort]*grpc.ClientConn{},
+		replies:     map[replyKey]chan []slot.Loan{},
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	peerpb.RegisterPeerServer(p.server, p)
+	return p
+}
+
+// Serve answers peers until Close.
+func (p *Peers) Serve(l net.Listener) error { return p.server.Serve(l) }
+
+// Close ends all calls.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.cancel()
+	p.calls.Wait()
+	p.server.Stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.connections {
+		c.Close()
+	}
+}
+
+// Borrow implements the gRPC service.
+func (p *Peers) Borrow(ctx context.Context, r *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	if r.GetAsk() == 0 {
+		return nil, status.Error(codes.InvalidArgument, "the ask is 0")
+	}
+	loans, err := p.await(ctx, fleet.EntryID(r.GetFrom()), slot.AskID(r.GetAsk()), &entry.SlotsWanted{
+		Peer:    fleet.EntryID(r.GetFrom()),
+		Service: service.ID(r.GetService()),
+		Count:   int(min(r.GetCount(), slot.Max)),
+		Ask:     slot.AskID(r.GetAsk()),
+	})
+	return &peerpb.BorrowReply{Loans: encodeLoans(loans)}, err
+}
+
+// Return implements the gRPC service.
+func (p *Peers) Return(_ context.Context, r *peerpb.ReturnRequest) (*peerpb.ReturnReply, error) {
+	p.loop.Submit(&entry.SlotsReturned{
+		Peer:  fleet.EntryID(r.GetFrom()),
+		Loans: decodeLoans(r.GetLoans()),
+		Void:  slot.AskID(r.GetVoidAsk()),
+	})
+	return &peerpb.ReturnReply{}, nil
+}
+
+// Held implements the gRPC service.
+func (p *Peers) Held(ctx context.Context, r *peerpb.HeldRequest) (*peerpb.HeldReply, error) {
+	peer := fleet.EntryID(r.GetFrom())
+	ask := slot.AskID(rand.Uint64())
+	loans, err := p.await(ctx, peer, ask, &entry.HeldAsked{Peer: peer, Ask: ask})
+	return &peerpb.HeldReply{Loans: encodeLoans(loans)}, err
+}
+
+// await submits a peer's call and waits for the reducer's answer.
+func (p *Peers) await(ctx context.Context, peer fleet.EntryID, ask slot.AskID, event entry.Event) ([]slot.Loan, error) {
+	key := replyKey{peer: peer, ask: ask}
+	reply := make(chan []slot.Loan, 1)
+	p.mu.Lock()
+	p.replies[key] = reply
+	p.mu.Unlock()
+	p.loop.Submit(event)
+	select {
+	case loans := <-reply:
+		return loans, nil
+	case <-ctx.Done():
+		p.mu.Lock()
+		delete(p.replies, key)
+		p.mu.Unlock()
+		return nil, ctx.Err()
+	}
+}
+
+// Kinds returns the effects that Handle carries out.
+func (p *Peers) Kinds() []entry.EffectKind {
+	return []entry.EffectKind{entry.AskSlots, entry.LendSlots, entry.ReturnSlots, entry.AskHeld, entry.TellHeld}
+}
+
+// Handle carries out an effect. The loop calls it.
+func (p *Peers) Handle(e entry.Effect) {
+	switch e.Kind {
+	case entry.LendSlots, entry.TellHeld:
+		p.reply(e)
+	case entry.AskSlots:
+		p.call(func() { p.askSlots(e) })
+	case entry.ReturnSlots:
+		p.call(func() { p.returnSlots(e) })
+	case entry.AskHeld:
+		p.call(func() { p.askHeld(e) })
+	}
+}
+
+func (p *Peers) reply(e entry.Effect) {
+	key := replyKey{peer: e.Peer, ask: e.Ask}
+	p.mu.Lock()
+	reply := p.replies[key]
+	delete(p.replies, key)
+	p.mu.Unlock()
+	if reply != nil {
+		reply <- e.Loans
+	}
+}
+
+// call makes a call to a peer beside the loop.
+func (p *Peers) call(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.calls.Go(f)
+	}
+}
+
+func encodeLoans(loans []slot.Loan) []*peerpb.Loan {
+	out := make([]*peerpb.Loan, len(loans))
+	for i, l := range loans {
+		out[i] = &peerpb.Loan{Runner: l.Runner, Slot: uint32(l.Slot), Ask: uint64(l.Ask)}
+	}
+	return out
+}
+
+// decodeLoans drops loans of slots that cannot exist.
+func decodeLoans(loans []*peerpb.Loan) []slot.Loan {
+	var out []slot.Loan
+	for _, l := range loans {
+		if l.GetSlot() < slot.Max {
+			out = append(out, slot.Loan{Runner: l.GetRunner(), Slot: slot.Index(l.GetSlot()), Ask: slot.AskID(l.GetAsk())})
+		}
+	}
+	return out
+}
+
+// client returns the stub of a peer.
+func (p *Peers) client(peer fleet.EntryID) (peerpb.PeerClient, error) {
+	address, ok := p.directory.PeerAddress(peer)
+	if !ok {
+		return nil, status.Errorf(codes.NotFound, "peer %q does not exist", peer)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.connections[address]
+	if !ok {
+		var err error
+		c, err = grpc.NewClient("passthrough:///"+address.String(),
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: callTimeout}))
+		if err != nil {
+			return nil, err
+		}
+		p.connections[address] = c
+	}
+	return peerpb.NewPeerClient(c), nil
+}
