Measure four ways to keep slots apart, in virtual time

Cause: lending was chosen by argument only. Change: 'bronzestair experiment slots' drives the reducers of seven entries in virtual time under lending, a share per entry, an owner entry per runner with forwarding, and a single entry that sees everything. Conclusion: lending stays, with early return.

--- a/cmd/bronzestair/main.go
+++ b/cmd/bronzestair/main.go
@@ -47,6 +47,7 @@
 			booksCommand(),
 			settingsCommand(),
 			loadCommand(),
+			experimentCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/core/entry/configuration.go
+++ b/core/entry/configuration.go
@@ -55,7 +55,7 @@
 // runnerFor returns the state of a runner under a configuration that is newer
 // than the one in force.
 func (s *State) runnerFor(config runner.Runner, f *fleet.Fleet) *runnerState {
-	homes := slot.Homes(f.EntryIDs(), string(config.ID), config.SlotCount())
+	homes := s.homes(f.EntryIDs(), string(config.ID), config.SlotCount())
 	state, ok := s.runners[config.ID]
 	if !ok {
 		state = &runnerState{ledger: slot.NewLedger(homes[s.self], config.SlotCount())}
--- a/core/entry/lending.go
+++ b/core/entry/lending.go
@@ -127,7 +127,7 @@
 // ask asks one peer for slots if requests wait and no ask is under way.
 func (s *State) ask(svc *serviceState) {
 	a := &svc.asking
-	if svc.queue.Len() == 0 || a.outstanding != 0 || s.now.Before(a.after) || len(s.lending.peers) == 0 {
+	if !s.lends || svc.queue.Len() == 0 || a.outstanding != 0 || s.now.Before(a.after) || len(s.lending.peers) == 0 {
 		return
 	}
 	if a.denials == 0 && a.pause == 0 {
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -35,6 +35,8 @@
 type State struct {
 	self     fleet.EntryID
 	picker   runner.Picker
+	homes    Homes
+	lends    bool
 	fleet    *fleet.Fleet
 	services map[service.ID]*serviceState
 	runners  map[runner.ID]*runnerState
@@ -77,6 +79,8 @@
 	s := &State{
 		self:     self,
 		picker:   runner.TwoChoices{},
+		homes:    slot.Homes[fleet.EntryID],
+		lends:    true,
 		services: map[service.ID]*serviceState{},
 		runners:  map[runner.ID]*runnerState{},
 	}
@@ -92,6 +96,15 @@
 // WithPicker sets how a runner is chosen.
 func WithPicker(p runner.Picker) Option { return func(s *State) { s.picker = p } }
 
+// Homes says which slots of a runner are at home at which entry.
+type Homes func(entries []fleet.EntryID, runner string, slots int) map[fleet.EntryID]slot.Mask
+
+// WithHomes sets where slots are at home. All entries must agree.
+func WithHomes(h Homes) Option { return func(s *State) { s.homes = h } }
+
+// WithLending sets whether slots are borrowed from peers.
+func WithLending(lends bool) Option { return func(s *State) { s.lends = lends } }
+
 // Reduce applies one event and appends the effects that follow from it.
 func (s *State) Reduce(event Event, effects []Effect) []Effect {
 	s.effects = effects
