Void an ask to a peer that restarts; test the reducer's promises

Cause: a loan that was on its way while its lender restarted was used although the borrower had told the new incarnation that it held nothing: five requests in flight at a runner of four slots. Ruled out: lost, late and repeated returns (they carry their ask). Change: who is asked what it holds voids its own outstanding ask to that peer.

--- a/core/entry/lending.go
+++ b/core/entry/lending.go
@@ -38,6 +38,8 @@
 type asking struct {
 	// outstanding is the ask without an answer, 0 for none.
 	outstanding slot.AskID
+	// peer is who was asked.
+	peer fleet.EntryID
 	// denials counts the peers in a row that had nothing.
 	denials int
 	// next is the index of the peer to ask next.
@@ -105,11 +107,20 @@
 	}
 }
 
-// heldAsked tells a peer which of its slots this entry has.
+// heldAsked tells a peer which of its slots this entry has. An ask to the
+// peer's former incarnation is void from now on: a loan that still comes of it
+// would be unknown to the new one.
 func (s *State) heldAsked(e *HeldAsked) {
+	for _, svc := range s.services {
+		if svc.asking.peer == e.Peer {
+			svc.asking.outstanding = 0
+		}
+	}
 	var loans []slot.Loan
-	for _, r := range s.runners {
-		loans = r.appendLoans(loans, r.ledger.Borrowed()&r.homes[e.Peer])
+	for _, config := range s.fleetServices() {
+		for _, r := range s.services[config.ID].runners {
+			loans = r.appendLoans(loans, r.ledger.Borrowed()&r.homes[e.Peer])
+		}
 	}
 	s.emit(Effect{Kind: TellHeld, Peer: e.Peer, Ask: e.Ask, Loans: loans})
 }
@@ -135,6 +146,7 @@
 	}
 	peer := s.lending.peers[a.next%len(s.lending.peers)]
 	a.outstanding = slot.AskID(max(s.random, 1))
+	a.peer = peer
 	s.emit(Effect{
 		Kind:    AskSlots,
 		Peer:    peer,
@@ -148,7 +160,7 @@
 // when all have refused, a pause follows that doubles.
 func (s *State) slotsBorrowed(e *SlotsBorrowed) {
 	svc, ok := s.services[e.Service]
-	if !ok || svc.asking.outstanding != e.Ask {
+	if !ok || svc.asking.outstanding != e.Ask || e.Ask == 0 {
 		s.emit(Effect{Kind: ReturnSlots, Peer: e.Peer, Ask: e.Ask})
 		return
 	}
--- /dev/null
+++ b/core/entry/lending_test.go
@@ -0,0 +1,258 @@
+package entry_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bronzestair/core/entry"
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/slot"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	lendingSlots   = 4
+	lendingTimeout = 8 * time.Second
+)
+
+// lendingNet is three entries, one runner, and a network that loses, delays
+// and reorders messages. Replies reach only the incarnation that asked.
+type lendingNet struct {
+	now          time.Time
+	random       uint64
+	fleet        *fleet.Fleet
+	states       map[fleet.EntryID]*entry.State
+	incarnations map[fleet.EntryID]int
+	asked        map[slot.AskID]time.Time
+	nextID       uint32
+	running      []lendingRun
+	messages     []lendingMessage
+}
+
+type lendingRun struct {
+	at       fleet.EntryID
+	request  entry.RequestID
+	attempt  int
+	deadline time.Time
+}
+
+// lendingMessage is on its way. If it is lost, lost happens at the asking entry.
+type lendingMessage struct {
+	to          fleet.EntryID
+	incarnation int // 0 for any
+	event       entry.Event
+	lost        entry.Event
+	lostTo      fleet.EntryID
+}
+
+func newLendingNet() *lendingNet {
+	n := &lendingNet{
+		now:          time.Unix(1_000_000, 0),
+		states:       map[fleet.EntryID]*entry.State{},
+		incarnations: map[fleet.EntryID]int{},
+		asked:        map[slot.AskID]time.Time{},
+		fleet: &fleet.Fleet{
+			Version:  1,
+			Entries:  []fleet.Entry{{ID: "entry-1"}, {ID: "entry-2"}, {ID: "entry-3"}},
+			Services: []service.Service{{ID: "seats", Pool: "seats"}},
+			Runners:  []runner.Runner{{ID: "seats-1", Pool: "seats", Slots: lendingSlots}},
+		},
+	}
+	for _, id := range n.fleet.EntryIDs() {
+		n.restart(id)
+	}
+	return n
+}
+
+// restart replaces an entry. Its connections break, so its requests end.
+func (n *lendingNet) restart(id fleet.EntryID) {
+	n.incarnations[id]++
+	n.states[id] = entry.New(id)
+	n.running = slices.DeleteFunc(n.running, func(r lendingRun) bool { return r.at == id })
+	n.submit(id, &entry.Configured{Fleet: n.fleet})
+}
+
+func (n *lendingNet) submit(id fleet.EntryID, event entry.Event) {
+	n.random = n.random*6364136223846793005 + 1442695040888963407
+	event.Stamp(n.now, n.random)
+	for _, e := range n.states[id].Reduce(event, nil) {
+		n.carryOut(id, e)
+	}
+}
+
+func (n *lendingNet) carryOut(id fleet.EntryID, e entry.Effect) {
+	m := lendingMessage{to: e.Peer}
+	switch e.Kind {
+	case entry.Dispatch:
+		n.running = append(n.running, lendingRun{at: id, request: e.Request, attempt: e.Attempt, deadline: n.now.Add(lendingTimeout)})
+		return
+	case entry.Deliver:
+		n.submit(id, &entry.Delivered{Request: e.Request, Whole: true})
+		return
+	case entry.AskSlots:
+		n.asked[e.Ask] = n.now
+		m.event = &entry.SlotsWanted{Peer: id, Service: e.Service, Count: e.Count, Ask: e.Ask}
+		m.lost = &entry.SlotsBorrowed{Peer: e.Peer, Service: e.Service, Ask: e.Ask, Failed: true}
+		m.lostTo = id
+	case entry.LendSlots:
+		m.incarnation = n.incarnations[e.Peer]
+		m.event = &entry.SlotsBorrowed{Peer: id, Service: e.Service, Ask: e.Ask, AskedAt: n.asked[e.Ask], Loans: e.Loans}
+		m.lost = &entry.SlotsBorrowed{Peer: id, Service: e.Service, Ask: e.Ask, Failed: true}
+		m.lostTo = e.Peer
+	case entry.ReturnSlots:
+		m.event = &entry.SlotsReturned{Peer: id, Loans: e.Loans, Void: e.Ask}
+	case entry.AskHeld:
+		m.event = &entry.HeldAsked{Peer: id, Ask: slot.AskID(n.incarnations[id])}
+	case entry.TellHeld:
+		m.incarnation = int(e.Ask)
+		m.event = &entry.HeldTold{Peer: id, Loans: e.Loans}
+	default:
+		return
+	}
+	n.messages = append(n.messages, m)
+}
+
+// deliver hands message i over, or loses it.
+func (n *lendingNet) deliver(i int, lose bool) {
+	m := n.messages[i]
+	n.messages = slices.Delete(n.messages, i, i+1)
+	if m.incarnation != 0 && m.incarnation != n.incarnations[m.to] {
+		return
+	}
+	if !lose {
+		n.submit(m.to, m.event)
+	} else if m.lost != nil {
+		n.submit(m.lostTo, m.lost)
+	}
+}
+
+// end ends attempt i.
+func (n *lendingNet) end(i int, result entry.Result) {
+	r := n.running[i]
+	n.running = slices.Delete(n.running, i, i+1)
+	n.submit(r.at, &entry.AttemptEnded{Request: r.request, Attempt: r.attempt, Result: result})
+}
+
+// pass lets time pass. Attempts end at their deadline at the latest.
+func (n *lendingNet) pass(d time.Duration) {
+	n.now = n.now.Add(d)
+	for i := 0; i < len(n.running); {
+		if n.now.Before(n.running[i].deadline) {
+			i++
+			continue
+		}
+		n.end(i, entry.TimedOut)
+		i = 0
+	}
+	for _, id := range n.fleet.EntryIDs() {
+		n.submit(id, &entry.Ticked{})
+	}
+}
+
+// step does one thing at random.
+func (n *lendingNet) step(t *rapid.T) {
+	id := rapid.SampledFrom(n.fleet.EntryIDs()).Draw(t, "entry")
+	switch step := rapid.IntRange(0, 11).Draw(t, "step"); {
+	case step < 3:
+		n.arrive(id)
+	case step < 4 && len(n.running) > 0:
+		n.end(rapid.IntRange(0, len(n.running)-1).Draw(t, "attempt"), entry.Succeeded)
+	case step < 5:
+		n.pass(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+	case step < 6:
+		if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+			n.restart(id)
+		}
+	case len(n.messages) > 0:
+		i := rapid.IntRange(0, len(n.messages)-1).Draw(t, "message")
+		n.deliver(i, rapid.IntRange(0, 5).Draw(t, "fate") == 0)
+	}
+}
+
+// TestLendingNeverExceedsSlots drives random interleavings of asks, losses,
+// late replies, restarts and the passing of time.
+func TestLendingNeverExceedsSlots(t *testing.T) {
+	most := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n := newLendingNet()
+		for range 300 {
+			n.step(t)
+			most = max(most, len(n.running))
+			if len(n.running) > lendingSlots {
+				t.Fatalf("%d requests are in flight at a runner of %d slots", len(n.running), lendingSlots)
+			}
+		}
+	})
+	if most < lendingSlots {
+		t.Errorf("at most %d requests were in flight, so the bound was never near", most)
+	}
+}
+
+// TestLateLoanOfFormerIncarnation has a lender restart while its loan is on
+// its way: the borrower must not use it after it told the lender that it holds nothing.
+func TestLateLoanOfFormerIncarnation(t *testing.T) {
+	for borrower := range 3 {
+		for lender := range 3 {
+			if borrower != lender {
+				checkLateLoan(t, fleet.EntryID(fmt.Sprintf("entry-%d", borrower+1)), fleet.EntryID(fmt.Sprintf("entry-%d", lender+1)))
+			}
+		}
+	}
+}
+
+func checkLateLoan(t *testing.T, borrower, lender fleet.EntryID) {
+	t.Helper()
+	n := newLendingNet()
+	n.deliverAll(func(lendingMessage) bool { return true })
+	for range lendingSlots {
+		n.arrive(borrower)
+	}
+	late := func(m lendingMessage) bool {
+		e, ok := m.event.(*entry.SlotsBorrowed)
+		return ok && e.Peer == lender && len(e.Loans) > 0
+	}
+	n.deliverAll(func(m lendingMessage) bool { return !late(m) })
+	n.restart(lender)
+	n.deliverAll(func(m lendingMessage) bool { return !late(m) })
+	for range lendingSlots {
+		n.arrive(lender)
+	}
+	n.deliverAll(func(lendingMessage) bool { return true })
+	if len(n.running) > lendingSlots {
+		t.Errorf("%s lends to %s: %d requests are in flight at a runner of %d slots", lender, borrower, len(n.running), lendingSlots)
+	}
+}
+
+func (n *lendingNet) arrive(id fleet.EntryID) {
+	n.nextID++
+	n.submit(id, &entry.Arrived{
+		Request: entry.NewRequestID(n.nextID, 1), Service: "seats", Deadline: n.now.Add(lendingTimeout),
+	})
+}
+
+// deliverAll hands over every message that is wanted until none is left.
+func (n *lendingNet) deliverAll(wanted func(lendingMessage) bool) {
+	for i := 0; i < len(n.messages); {
+		if !wanted(n.messages[i]) {
+			i++
+			continue
+		}
+		n.deliver(i, false)
+		i = 0
+	}
+}
--- /dev/null
+++ b/core/entry/request_test.go
@@ -0,0 +1,339 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"bronzestair/core/entry"
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/verdict"
+)
+
+// path drives one reducer and follows what is true of each request.
+type path struct {
+	now     time.Time
+	state   *entry.State
+	random  uint64
+	known   map[entry.RequestID]*truth
+	effects []entry.Effect
+	broken  []string
+}
+
+// truth is what really happened to a request.
+type truth struct {
+	idempotent bool
+	deadline   time.Time
+	attempt    int
+	inFlight   bool
+	mayHaveRun bool
+	delivering bool
+	records    []verdict.Verdict
+	dispatches int
+}
+
+func newPath(services []service.Service, runners []runner.Runner) *path {
+	p := &path{now: time.Unix(1_000_000, 0), state: entry.New("entry-1"), known: map[entry.RequestID]*truth{}}
+	p.submit(&entry.Configured{Fleet: &fleet.Fleet{
+		Version: 1, Entries: []fleet.Entry{{ID: "entry-1"}}, Services: services, Runners: runners,
+	}})
+	return p
+}
+
+func (p *path) submit(event entry.Event) {
+	p.random = p.random*6364136223846793005 + 1442695040888963407
+	event.Stamp(p.now, p.random)
+	p.effects = p.state.Reduce(event, nil)
+	for _, e := range p.effects {
+		p.check(e)
+	}
+}
+
+func (p *path) violate(format string, args ...any) {
+	p.broken = append(p.broken, fmt.Sprintf(format, args...))
+}
+
+// check holds an effect against what is true.
+func (p *path) check(e entry.Effect) {
+	r := p.known[e.Request]
+	switch e.Kind {
+	case entry.Dispatch:
+		if r.inFlight || len(r.records) > 0 {
+			p.violate("request %d is dispatched while it runs or after it ended", e.Request)
+		}
+		if r.mayHaveRun && !r.idempotent {
+			p.violate("request %d may have run, is not idempotent, and is sent again", e.Request)
+		}
+		if !p.now.Before(r.deadline) {
+			p.violate("request %d is dispatched after its deadline", e.Request)
+		}
+		r.attempt, r.inFlight = e.Attempt, true
+		r.dispatches++
+	case entry.Deliver:
+		r.delivering = true
+	case entry.Refuse:
+		p.checkVerdict(r, e)
+	case entry.Record:
+		if e.Verdict != verdict.Answered {
+			p.checkVerdict(r, e)
+		}
+		r.records = append(r.records, e.Verdict)
+	}
+}
+
+func (p *path) checkVerdict(r *truth, e entry.Effect) {
+	if want := verdictOf(r); e.Verdict != want {
+		p.violate("request %d has verdict %v, the truth is %v", e.Request, e.Verdict, want)
+	}
+}
+
+func verdictOf(r *truth) verdict.Verdict {
+	if r.mayHaveRun || r.inFlight {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+func (p *path) arrive(id entry.RequestID, e entry.Arrived) {
+	e.Request = id
+	p.known[id] = &truth{idempotent: e.Idempotent, deadline: e.Deadline}
+	p.submit(&e)
+}
+
+// end ends the attempt in flight.
+func (p *path) end(id entry.RequestID, result entry.Result) {
+	r := p.known[id]
+	r.inFlight = false
+	if result != entry.NotSent {
+		r.mayHaveRun = true
+	}
+	p.submit(&entry.AttemptEnded{Request: id, Attempt: r.attempt, Result: result})
+	if r.delivering && len(r.records) == 0 {
+		p.submit(&entry.Delivered{Request: id, Whole: p.random%8 != 0})
+	}
+}
+
+func (p *path) kinds() []string {
+	var out []string
+	for _, e := range p.effects {
+		text := e.Kind.String()
+		if e.Kind == entry.Refuse || e.Kind == entry.Record {
+			text += " " + e.Verdict.String()
+		}
+		if e.Kind == entry.Refuse {
+			text += " " + e.Reason.String()
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
+// TestEveryRequestEndsOnceAndTruly drives random interleavings of arrivals,
+// results, leaving callers, deadlines and time.
+func TestEveryRequestEndsOnceAndTruly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPath(
+			[]service.Service{{ID: "seats", Pool: "seats", QueueLength: 3}},
+			[]runner.Runner{{ID: "seats-1", Pool: "seats", Slots: 2}, {ID: "seats-2", Pool: "seats", Slots: 1}})
+		var ids []entry.RequestID
+		for range 80 {
+			p.step(t, &ids)
+		}
+		p.now = p.now.Add(time.Minute)
+		for _, id := range ids {
+			p.submit(&entry.DeadlinePassed{Request: id})
+			if p.known[id].inFlight {
+				p.end(id, entry.TimedOut)
+			}
+		}
+		for _, id := range ids {
+			if n := len(p.known[id].records); n != 1 {
+				p.violate("request %d ended %d times", id, n)
+			}
+		}
+		if diff := cmp.Diff([]string(nil), p.broken); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func (p *path) step(t *rapid.T, ids *[]entry.RequestID) {
+	p.now = p.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+	step := rapid.IntRange(0, 7).Draw(t, "step")
+	if step < 3 || len(*ids) == 0 {
+		id := entry.NewRequestID(uint32(len(*ids)), 1)
+		*ids = append(*ids, id)
+		p.arrive(id, entry.Arrived{
+			Service:    "seats",
+			Urgency:    rapid.SampledFrom([]service.Urgency{service.Urgent, service.Normal, service.Batch}).Draw(t, "urgency"),
+			Idempotent: rapid.Bool().Draw(t, "idempotent"),
+			Deadline:   p.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "timeout")) * time.Millisecond),
+		})
+		return
+	}
+	id := rapid.SampledFrom(*ids).Draw(t, "request")
+	switch {
+	case step < 6 && p.known[id].inFlight:
+		p.end(id, entry.Result(rapid.IntRange(0, int(entry.Failed)).Draw(t, "result")))
+	case step == 6:
+		p.submit(&entry.CallerLeft{Request: id})
+	case step == 7:
+		p.submit(&entry.DeadlinePassed{Request: id})
+		p.submit(&entry.Ticked{})
+	}
+}
+
+// oneRunner is a path with one runner of one slot.
+func oneRunner() *path {
+	return newPath([]service.Service{{ID: "seats", Pool: "seats", QueueLength: 2}}, []runner.Runner{{ID: "seats-1", Pool: "seats", Slots: 1}})
+}
+
+func (p *path) in(d time.Duration) entry.Arrived {
+	return entry.Arrived{Service: "seats", Deadline: p.now.Add(d)}
+}
+
+// TestDecisions covers single decisions: each step's effects.
+func TestDecisions(t *testing.T) {
+	second := time.Second
+	tests := []struct {
+		name  string
+		steps func(p *path)
+		want  []string
+	}{
+		{"unknown service", func(p *path) {
+			p.arrive(1, entry.Arrived{Service: "none", Deadline: p.now.Add(second)})
+		}, []string{"refuse notRun unknownService", "record notRun"}},
+		{"deadline that has passed", func(p *path) { p.arrive(1, p.in(0)) },
+			[]string{"refuse notRun deadlineReached", "record notRun"}},
+		{"deadline that cannot be met", func(p *path) {
+			p.arrive(1, p.in(second))
+			p.now = p.now.Add(800 * time.Millisecond)
+			p.end(1, entry.Succeeded)
+			p.arrive(2, p.in(second))
+			p.arrive(3, p.in(second))
+		}, []string{"refuse notRun deadlineUnmeetable", "record notRun"}},
+		{"full queue", func(p *path) {
+			for id := range entry.RequestID(4) {
+				p.arrive(id+1, p.in(second))
+			}
+		}, []string{"refuse notRun queueFull", "record notRun"}},
+		{"urgent work displaces the least urgent", func(p *path) {
+			for id := range entry.RequestID(3) {
+				p.arrive(id+1, p.in(second))
+			}
+			urgent := p.in(second)
+			urgent.Urgency = service.Urgent
+			p.arrive(9, urgent)
+		}, []string{"refuse notRun displaced", "record notRun"}},
+		{"not sent is tried again", func(p *path) { p.arrive(1, p.in(second)); p.end(1, entry.NotSent) },
+			[]string{"dispatch"}},
+		{"broken is not tried again", func(p *path) { p.arrive(1, p.in(second)); p.end(1, entry.Broken) },
+			[]string{"refuse mayHaveRun answerBroken", "record mayHaveRun"}},
+		{"a later attempt that is not sent does not undo an earlier one", func(p *path) {
+			e := p.in(second)
+			e.Idempotent = true
+			p.arrive(1, e)
+			p.end(1, entry.Broken)
+			p.end(1, entry.NotSent)
+			p.end(1, entry.NotSent)
+		}, []string{"refuse mayHaveRun answerBroken", "record mayHaveRun"}},
+		{"answer after the deadline", func(p *path) {
+			p.arrive(1, p.in(second))
+			p.now = p.now.Add(2 * second)
+			p.end(1, entry.Succeeded)
+		}, []string{"refuse mayHaveRun deadlineReached", "record mayHaveRun"}},
+		{"caller that leaves the queue", func(p *path) {
+			p.arrive(1, p.in(second))
+			p.arrive(2, p.in(second))
+			p.submit(&entry.CallerLeft{Request: 2})
+		}, []string{"discard", "record notRun"}},
+		{"caller that leaves while its request runs", func(p *path) {
+			p.arrive(1, p.in(second))
+			p.submit(&entry.CallerLeft{Request: 1})
+			p.end(1, entry.Succeeded)
+		}, []string{"discard", "record mayHaveRun"}},
+		{"stopping entry", func(p *path) { p.submit(&entry.Stopping{}); p.arrive(1, p.in(second)) },
+			[]string{"refuse notRun entryStopping", "record notRun", "stopped"}},
+		{"leaving runner", func(p *path) {
+			p.submit(&entry.Listed{Leaving: []runner.ID{"seats-1"}})
+			p.arrive(1, p.in(second))
+		}, nil},
+		{"older configuration", func(p *path) {
+			p.submit(&entry.Configured{Fleet: &fleet.Fleet{Version: 1}})
+			p.arrive(1, p.in(second))
+		}, []string{"dispatch"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := oneRunner()
+			test.steps(p)
+			if diff := cmp.Diff(test.want, p.kinds()); diff != "" {
+				t.Errorf("effects of the last step (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]string(nil), p.broken); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestRetriesAreBounded has every attempt fail to be sent.
+func TestRetriesAreBounded(t *testing.T) {
+	p := newPath([]service.Service{{ID: "seats", Pool: "seats"}}, []runner.Runner{{ID: "seats-1", Pool: "seats"}})
+	const requests = 200
+	dispatches := 0
+	for id := range entry.RequestID(requests) {
+		p.arrive(id, p.in(time.Hour))
+		for p.known[id].inFlight {
+			p.end(id, entry.NotSent)
+		}
+		dispatches += p.known[id].dispatches
+	}
+	if retries := dispatches - requests; retries > 5 {
+		t.Errorf("%d retries for %d requests of which none succeeded", retries, requests)
+	}
+}
+
+// TestFailingRunnerLeavesAndComesBack has one runner of three fail everything.
+func TestFailingRunnerLeavesAndComesBack(t *testing.T) {
+	var runners []runner.Runner
+	for i := range 3 {
+		runners = append(runners, runner.Runner{ID: runner.ID(fmt.Sprintf("seats-%d", i+1)), Pool: "seats"})
+	}
+	p := newPath([]service.Service{{ID: "seats", Pool: "seats"}}, runners)
+	send := func(id entry.RequestID, bad func(runner.ID) bool) {
+		p.now = p.now.Add(10 * time.Millisecond)
+		p.arrive(id, p.in(time.Second))
+		result := entry.Succeeded
+		if bad(p.effects[0].Runner) {
+			result = entry.Failed
+		}
+		p.end(id, result)
+	}
+	for id := range entry.RequestID(60) {
+		send(id, func(r runner.ID) bool { return r == "seats-1" })
+	}
+	if diff := cmp.Diff([]runner.ID{"seats-1"}, p.state.Status().Services[0].Ejected); diff != "" {
+		t.Fatalf("ejected runners (-want +got):\n%s", diff)
+	}
+	for id := range entry.RequestID(60) {
+		send(100+id, func(runner.ID) bool { return true })
+	}
+	if n := len(p.state.Status().Services[0].Ejected); n != 1 {
+		t.Errorf("%d of 3 runners are out though all fail: the ceiling is 1", n)
+	}
+	p.now = p.now.Add(time.Minute)
+	p.submit(&entry.Ticked{})
+	if diff := cmp.Diff([]string{"probe"}, p.kinds()); diff != "" {
+		t.Fatalf("effects of a tick (-want +got):\n%s", diff)
+	}
+	p.submit(&entry.ProbeEnded{Runner: "seats-1", OK: true})
+	if got := p.state.Status().Services[0].Ejected; len(got) > 0 {
+		t.Errorf("%v are still out after a good probe", got)
+	}
+}
