Test failures of backend servers, bad requests and races through a whole entry

Cause: the failures that the path is for had no test. The new tests found: a caller that left was never noticed, since the connection limiter hid the TCP connection from the check (TestCallerLeavesQueue waited 20 s, the line said answered); five kinds of bad requests got the library's plain text or an empty answer instead of a problem document. Change: the listener bounds connections itself; the head is checked for all that the library refuses on its own; CONNECT and OPTIONS * get a document.

--- /dev/null
+++ b/deployment_test.go
@@ -0,0 +1,143 @@
+package bronzestair_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bronzestair"
+	"bronzestair/core/book"
+	"bronzestair/core/fleet"
+	"bronzestair/core/period"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/core/settings"
+	"bronzestair/io/platform"
+	"bronzestair/standin"
+)
+
+// deployment is one entry, a stand-in of the platform, and a caller.
+type deployment struct {
+	platform *standin.Platform
+	reader   *platform.Client
+	entry    *bronzestair.Entry
+	callers  netip.AddrPort
+	client   *http.Client
+	cancel   context.CancelFunc
+	ended    chan error
+}
+
+// startDeployment serves the service seats on runners of one slot each.
+func startDeployment(t *testing.T, runners ...netip.AddrPort) *deployment {
+	t.Helper()
+	f := fleet.Fleet{
+		Entries:  []fleet.Entry{{ID: "entry-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}},
+		Services: []service.Service{{ID: "seats", Pool: "seats", MaxTimeout: period.Period(time.Minute)}},
+	}
+	for i, address := range runners {
+		id := runner.ID(fmt.Sprintf("seats-%d", i+1))
+		f.Runners = append(f.Runners, runner.Runner{ID: id, Pool: "seats", Address: address, Slots: 1})
+	}
+	value, err := json.Marshal(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &deployment{platform: standin.NewPlatform(0), client: &http.Client{Transport: &http.Transport{}}, ended: make(chan error, 1)}
+	d.platform.SetRow(platform.ConfigurationTable, platform.FleetKey, value)
+	server, err := standin.Serve(d.platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	t.Cleanup(d.client.CloseIdleConnections)
+	d.reader = platform.NewClient(server.Address)
+	d.run(t, server.Address)
+	return d
+}
+
+// run starts the entry and waits until it is ready.
+func (d *deployment) run(t *testing.T, platformAddress netip.AddrPort) {
+	t.Helper()
+	var listeners [3]net.Listener
+	for i := range listeners {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = l
+	}
+	s := settings.Default()
+	s.PlatformAddress = platformAddress
+	s.DrainDelay = 0
+	s.MaxHeaderBytes = 2048
+	s.MaxBodyBytes = 4_000_000
+	e, err := bronzestair.New(bronzestair.WithSettings(s), bronzestair.WithLogger(slog.New(slog.DiscardHandler)),
+		bronzestair.WithCallerListener(listeners[0]),
+		bronzestair.WithOperatorListener(listeners[1]),
+		bronzestair.WithPeerListener(listeners[2]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.entry = e
+	d.callers = listeners[0].Addr().(*net.TCPAddr).AddrPort()
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go func() { d.ended <- e.Run(ctx) }()
+	t.Cleanup(cancel)
+	d.await(t, e.Ready)
+}
+
+// await waits until something holds.
+func (d *deployment) await(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !holds(); {
+		if time.Now().After(end) {
+			t.Fatal("what was waited for did not happen")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// stop ends the entry gracefully.
+func (d *deployment) stop(t *testing.T) {
+	t.Helper()
+	d.cancel()
+	select {
+	case err := <-d.ended:
+		if err != nil {
+			t.Errorf("the entry ended with %v", err)
+		}
+	case <-time.After(testTimeout):
+		t.Fatal("the entry did not end")
+	}
+}
+
+// bookLines reads all lines back from the platform.
+func (d *deployment) bookLines(t *testing.T) []book.Line {
+	t.Helper()
+	batches, err := d.reader.Batches(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []book.Line
+	for _, b := range batches {
+		lines = append(lines, b.Lines...)
+	}
+	return lines
+}
+
+// onlyBookLine returns the verdict of the one line in the books.
+func (d *deployment) onlyBookLine(t *testing.T) string {
+	t.Helper()
+	lines := d.bookLines(t)
+	if len(lines) != 1 {
+		return fmt.Sprintf("%d lines", len(lines))
+	}
+	return lines[0].Verdict.String()
+}
--- /dev/null
+++ b/failure_test.go
@@ -0,0 +1,306 @@
+package bronzestair_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/io/caller"
+)
+
+// failureCase is one paragraph of testdata/failures.txt.
+type failureCase struct {
+	name    string
+	method  string
+	body    int
+	chunked bool
+	timeout string
+	backend []string
+	want    outcome
+}
+
+// outcome is what is compared.
+type outcome struct {
+	Status  string
+	Verdict string
+	Runs    int
+	Book    string
+}
+
+func readFailureCases(t *testing.T) []failureCase {
+	t.Helper()
+	data, err := os.ReadFile("testdata/failures.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []failureCase
+	for _, line := range strings.Split(string(data), "\n") {
+		word, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if word == "" || strings.HasPrefix(word, "#") {
+			continue
+		}
+		if word == "case" {
+			cases = append(cases, failureCase{name: rest, timeout: "20s"})
+			continue
+		}
+		cases[len(cases)-1].set(t, word, strings.Fields(rest))
+	}
+	return cases
+}
+
+func (c *failureCase) set(t *testing.T, word string, fields []string) {
+	t.Helper()
+	switch word {
+	case "send":
+		c.method = fields[0]
+		for _, f := range fields[1:] {
+			name, value, _ := strings.Cut(f, "=")
+			switch name {
+			case "body":
+				c.body = number(t, value)
+			case "chunked":
+				c.chunked = true
+			case "timeout":
+				c.timeout = value
+			}
+		}
+	case "backend":
+		c.backend = fields
+	case "want":
+		c.want = outcome{Status: fields[0], Verdict: fields[1]}
+		c.want.Runs = number(t, strings.TrimPrefix(fields[2], "runs="))
+		c.want.Book = strings.TrimPrefix(fields[3], "book=")
+	default:
+		t.Fatalf("line %q does not exist in a case", word)
+	}
+}
+
+func number(t *testing.T, text string) int {
+	t.Helper()
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+const largeAnswer = 300_000 // bytes
+
+// scripted is a backend server that behaves as told, connection by connection.
+type scripted struct {
+	listener  net.Listener
+	script    []string
+	runs      atomic.Int32
+	accepted  int
+	open      sync.WaitGroup
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func startScripted(t *testing.T, script []string) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{listener: l, script: script, closed: make(chan struct{})}
+	if script[0] == "refuse" {
+		l.Close()
+		return s
+	}
+	go s.accept()
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *scripted) address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (s *scripted) close() {
+	s.closeOnce.Do(func() { close(s.closed) })
+	s.listener.Close()
+	s.open.Wait()
+}
+
+func (s *scripted) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		behaviour := s.script[min(s.accepted, len(s.script)-1)]
+		s.accepted++
+		s.open.Go(func() {
+			defer c.Close()
+			s.behave(c.(*net.TCPConn), behaviour)
+		})
+	}
+}
+
+// behave serves one connection.
+func (s *scripted) behave(c *net.TCPConn, behaviour string) {
+	reset := func() { _ = c.SetLinger(0) }
+	reader := bufio.NewReader(c)
+	switch behaviour {
+	case "silent":
+		s.awaitClose(c)
+		return
+	case "resetInHead":
+		_, _ = reader.ReadByte()
+		reset()
+		return
+	}
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	switch behaviour {
+	case "resetInBody":
+		_, _ = io.CopyN(io.Discard, request.Body, 1000)
+		reset()
+		return
+	case "early":
+		fmt.Fprint(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		s.awaitClose(c)
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	s.runs.Add(1)
+	s.answer(c, behaviour, reset)
+}
+
+// answer answers a request that was run.
+func (s *scripted) answer(c net.Conn, behaviour string, reset func()) {
+	switch behaviour {
+	case "ok":
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	case "fail":
+		fmt.Fprint(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+	case "resetAfterBody":
+		reset()
+	case "resetInAnswer":
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nten bytes.")
+		reset()
+	case "shortAnswer":
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nten bytes.")
+	case "cutChunks":
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n")
+	case "noLength":
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndone")
+	case "garbage":
+		fmt.Fprint(c, "SSH-2.0-none\r\n")
+	case "switch":
+		fmt.Fprint(c, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+	case "interim":
+		fmt.Fprint(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	case "cutLarge", "large":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", largeAnswer)
+		n := largeAnswer
+		if behaviour == "cutLarge" {
+			n /= 2
+		}
+		_, _ = c.Write(bytes.Repeat([]byte("x"), n))
+	case "largeChunks":
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", largeAnswer)
+		_, _ = c.Write(bytes.Repeat([]byte("x"), largeAnswer))
+		fmt.Fprint(c, "\r\n0\r\n\r\n")
+	case "late":
+		s.awaitClose(c)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+	}
+}
+
+// awaitClose returns once the entry has closed the connection.
+func (s *scripted) awaitClose(c net.Conn) {
+	gone := make(chan struct{})
+	go func() {
+		_, _ = io.Copy(io.Discard, c)
+		close(gone)
+	}()
+	select {
+	case <-gone:
+	case <-s.closed:
+	}
+}
+
+// TestFailuresOfBackendServers runs every case of testdata/failures.txt
+// through a whole entry.
+func TestFailuresOfBackendServers(t *testing.T) {
+	for _, c := range readFailureCases(t) {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			backend := startScripted(t, c.backend)
+			d := startDeployment(t, backend.address())
+			status, answered := d.send(t, c)
+			d.stop(t)
+			got := outcome{Status: status, Verdict: answered, Runs: int(backend.runs.Load()), Book: d.onlyBookLine(t)}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// send sends the request of a case. It returns the status, or cut, and the verdict.
+func (d *deployment) send(t *testing.T, c failureCase) (status, verdict string) {
+	t.Helper()
+	var body io.Reader = bytes.NewReader(bytes.Repeat([]byte("b"), c.body))
+	if c.chunked {
+		body = io.MultiReader(body)
+	}
+	request, err := http.NewRequest(c.method, "http://"+d.callers.String()+"/seats/bookings", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(caller.HeaderKey, "key-1")
+	request.Header.Set(caller.HeaderTimeout, c.timeout)
+	response, err := d.client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	verdict = response.Header.Get(caller.HeaderVerdict)
+	if err != nil {
+		return "cut", verdict
+	}
+	if verdict != "answered" {
+		checkProblem(t, response, answer)
+	}
+	if strings.HasPrefix(c.backend[0], "large") && len(answer) != largeAnswer {
+		t.Errorf("the answer has %d bytes, not %d", len(answer), largeAnswer)
+	}
+	return strconv.Itoa(response.StatusCode), verdict
+}
+
+// checkProblem checks that a refusal is a problem document.
+func checkProblem(t *testing.T, response *http.Response, answer []byte) {
+	t.Helper()
+	var document struct {
+		Status  int
+		Verdict string
+	}
+	if err := json.Unmarshal(answer, &document); err != nil {
+		t.Errorf("answer %q is no problem document: %v", answer, err)
+	}
+	if document.Status != response.StatusCode || document.Verdict != response.Header.Get(caller.HeaderVerdict) {
+		t.Errorf("the document %+v and the head %d %q differ", document, response.StatusCode, response.Header.Get(caller.HeaderVerdict))
+	}
+}
+
+const testTimeout = 20 * time.Second
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -23,6 +23,8 @@
 type conn struct {
 	net.Conn
 	limits Limits
+	leave  func()
+	closed sync.Once
 
 	peeker   socket.Peeker
 	framing  framing
@@ -157,17 +159,35 @@
 	return c.Conn.Write(p)
 }
 
-// listener wraps the connections of callers.
+// Close closes the connection and makes room for another.
+func (c *conn) Close() error {
+	c.closed.Do(c.leave)
+	return c.Conn.Close()
+}
+
+// listener wraps the connections of callers and bounds how many are open.
 type listener struct {
 	net.Listener
 	limits Limits
+	open   chan struct{}
+}
+
+func newListener(l net.Listener, limits Limits) *listener {
+	return &listener{Listener: l, limits: limits, open: make(chan struct{}, limits.Connections)}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Over the limit, callers wait to be accepted.
 func (l *listener) Accept() (net.Conn, error) {
+	l.open <- struct{}{}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		<-l.open
 		return nil, err
 	}
-	return &conn{Conn: c, limits: l.limits, peeker: socket.NewPeeker(c)}, nil
+	return &conn{
+		Conn:   c,
+		limits: l.limits,
+		peeker: socket.NewPeeker(c),
+		leave:  func() { <-l.open },
+	}, nil
 }
--- a/io/caller/framing.go
+++ b/io/caller/framing.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"net/http"
+	"net/url"
 	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxChunkLine bounds the line before a chunk, and a trailer line, in bytes.
@@ -112,62 +115,131 @@
 	return nil
 }
 
-// parseFraming reads the headers that say where the body ends.
+// headFields are the parts of a head that decide on framing and form.
+type headFields struct {
+	length    int64
+	lengths   int
+	chunked   bool
+	encodings int
+	hosts     int
+}
+
+// parseFraming reads the headers that say where the body ends. It refuses
+// whatever the library would refuse without a problem document.
 func parseFraming(head []byte) (length int64, chunked bool, p *problem) {
 	start, rest, _ := bytes.Cut(head, crlf)
-	if p := checkLineEnds(start); p != nil {
+	version, p := checkRequestLine(start)
+	if p != nil {
 		return 0, false, p
 	}
-	var lengths, encodings int
+	var fields headFields
 	for len(rest) > 0 {
 		var line []byte
 		line, rest, _ = bytes.Cut(rest, crlf)
-		name, value, p := splitHeader(line)
-		if p != nil {
-			return 0, false, p
-		}
-		switch {
-		case len(name) == len("Content-Length") && bytes.EqualFold(name, []byte("Content-Length")):
-			lengths++
-			length, p = parseLength(value)
-		case len(name) == len("Transfer-Encoding") && bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			encodings++
-			chunked = bytes.EqualFold(value, []byte("chunked"))
-			if !chunked {
-				p = newProblem(http.StatusNotImplemented, "transfer encoding %q is not served", value)
-			}
-		}
-		if p != nil {
+		if p := fields.add(line); p != nil {
 			return 0, false, p
 		}
 	}
 	switch {
-	case lengths > 1:
-		p = badRequest("header Content-Length stands %d times", lengths)
-	case encodings > 1:
-		p = badRequest("header Transfer-Encoding stands %d times", encodings)
-	case lengths > 0 && encodings > 0:
+	case fields.lengths > 1:
+		p = badRequest("header Content-Length stands %d times", fields.lengths)
+	case fields.encodings > 1:
+		p = badRequest("header Transfer-Encoding stands %d times", fields.encodings)
+	case fields.lengths > 0 && fields.encodings > 0:
 		p = badRequest("headers Content-Length and Transfer-Encoding exclude each other")
-	case encodings > 0 && !bytes.HasSuffix(start, []byte(" HTTP/1.1")):
+	case fields.encodings > 0 && version != "HTTP/1.1":
 		p = badRequest("header Transfer-Encoding needs HTTP/1.1")
+	case fields.hosts > 1 || (fields.hosts == 0 && version == "HTTP/1.1"):
+		p = badRequest("header Host stands %d times", fields.hosts)
+	}
+	return fields.length, fields.chunked, p
+}
+
+// add takes one header line.
+func (f *headFields) add(line []byte) (p *problem) {
+	name, value, p := splitHeader(line)
+	if p != nil {
+		return p
+	}
+	switch {
+	case isHeader(name, "Content-Length"):
+		f.lengths++
+		f.length, p = parseLength(value)
+	case isHeader(name, "Transfer-Encoding"):
+		f.encodings++
+		f.chunked = bytes.EqualFold(value, []byte("chunked"))
+		if !f.chunked {
+			p = newProblem(http.StatusNotImplemented, "transfer encoding %q is not served", value)
+		}
+	case isHeader(name, "Host"):
+		f.hosts++
+		if !httpguts.ValidHostHeader(string(value)) {
+			p = badRequest("header Host is %q, which is no host", value)
+		}
+	case isHeader(name, "Expect"):
+		if !bytes.EqualFold(value, []byte("100-continue")) {
+			p = newProblem(http.StatusExpectationFailed, "expectation %q is not met", value)
+		}
 	}
-	return length, chunked, p
+	return p
+}
+
+func isHeader(name []byte, want string) bool {
+	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
+}
+
+// checkRequestLine checks method, target and version, and returns the version.
+func checkRequestLine(line []byte) (version string, p *problem) {
+	if p := checkLineEnds(line); p != nil {
+		return "", p
+	}
+	method, rest, found := bytes.Cut(line, []byte(" "))
+	target, protocol, foundToo := bytes.Cut(rest, []byte(" "))
+	if !found || !foundToo || !httpguts.ValidHeaderFieldName(string(method)) {
+		return "", badRequest("line %q is not a method, a target and a version", line)
+	}
+	version = string(protocol)
+	if version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return "", newProblem(http.StatusHTTPVersionNotSupported, "version %q is not served", protocol)
+	}
+	if plainTarget(target) {
+		return version, nil
+	}
+	if _, err := url.ParseRequestURI(string(target)); err != nil {
+		return "", badRequest("target %q is no path", target)
+	}
+	return version, nil
+}
+
+// plainTarget reports whether a target is a path without characters that need care.
+func plainTarget(target []byte) bool {
+	if len(target) == 0 || target[0] != '/' {
+		return false
+	}
+	for _, c := range target {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && bytes.IndexByte([]byte("/._-~?=&"), c) < 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // splitHeader returns the name and value of a header line.
 func splitHeader(line []byte) (name, value []byte, p *problem) {
-	if bytes.IndexByte(line, '\n') >= 0 || bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
-		return nil, nil, badRequest("a line of the head has a control character")
-	}
 	colon := bytes.IndexByte(line, ':')
 	if colon <= 0 {
 		return nil, nil, badRequest("a line of the head is no header")
 	}
 	name = line[:colon]
-	if bytes.IndexByte(name, ' ') >= 0 || bytes.IndexByte(name, '\t') >= 0 {
-		return nil, nil, badRequest("a header's name has white space")
+	if !httpguts.ValidHeaderFieldName(string(name)) {
+		return nil, nil, badRequest("header name %q has a character that is not allowed", name)
+	}
+	value = bytes.Trim(line[colon+1:], " \t")
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return nil, nil, badRequest("the value of header %q has a control character", name)
 	}
-	return name, bytes.Trim(line[colon+1:], " \t"), nil
+	return name, value, nil
 }
 
 func parseLength(value []byte) (int64, *problem) {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -24,7 +24,6 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
-	"golang.org/x/net/netutil"
 
 	"bronzestair/core/book"
 	"bronzestair/core/entry"
@@ -158,8 +157,11 @@
 	s.limits = s.limits.withDefaults()
 	e := echo.New()
 	e.Any("/*", s.serve)
+	e.HTTPErrorHandler = unrouted
 	s.http = &http.Server{
 		Handler: e,
+		// OPTIONS * is refused like every target that is no path.
+		DisableGeneralOptionsHandler: true,
 		// The connection bounds heads and times itself.
 		MaxHeaderBytes: 2 * s.limits.HeaderBytes,
 		ErrorLog:       slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
@@ -175,10 +177,21 @@
 	return s
 }
 
+// unrouted answers a request whose target or method has no route.
+func unrouted(_ error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	p := badRequest("target %q is no path", c.Request().RequestURI)
+	if c.Request().Method == http.MethodConnect {
+		p = newProblem(http.StatusMethodNotAllowed, "method %q is not served", c.Request().Method)
+	}
+	_ = p.write(c.Response())
+}
+
 // Serve accepts callers until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	limited := netutil.LimitListener(l, s.limits.Connections)
-	err := s.http.Serve(&listener{Listener: limited, limits: s.limits})
+	err := s.http.Serve(newListener(l, s.limits))
 	if err == http.ErrServerClosed {
 		return nil
 	}
