--- a/io/caller/framing.go
+++ b/io/caller/framing.go
@@ -78,10 +78,6 @@
 }
 
 func (f *framing) head(data []byte, maxHead int) (int, *problem) {
-	// An empty line before a request line is allowed and passed on (section 2.2).
-	if bytes.HasPrefix(data, crlf) {
-		return len(crlf), nil
-	}
 	end := bytes.Index(data, []byte("\r\n\r\n"))
 	if end > maxHead || (end < 0 && len(data) > maxHead) {
 		return 0, newProblem(http.StatusRequestHeaderFieldsTooLarge, "the head has more than %d bytes", maxHead)
@@ -291,6 +287,10 @@
 	}
 	if len(line) == 0 {
 		f.state = inHead
+		return n, nil
+	}
+	if _, _, p := splitHeader(line); p != nil {
+		return 0, p
 	}
 	return n, nil
 }
--- /dev/null
+++ b/io/caller/fuzz_test.go
@@ -0,0 +1,105 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var framingSeeds = []string{
+	"GET /seats/x HTTP/1.1\r\nHost: a\r\n\r\n",
+	"POST /seats/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: b\r\n\r\n",
+	"POST /seats/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nA: b\r\n\r\n",
+	"POST /seats/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+}
+
+// FuzzFramingAgreesWithLibrary checks that whatever the framing passes as a
+// whole request, the library reads as a request of the same length.
+func FuzzFramingAgreesWithLibrary(f *testing.F) {
+	for _, seed := range framingSeeds {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		passed, whole, ended := passFraming(data)
+		reader := bufio.NewReader(bytes.NewReader(data[:passed]))
+		read := 0
+		for range whole {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				t.Fatalf("the framing passes request %d of %q, the library says %v", read, data[:passed], err)
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				t.Fatalf("the framing passes the body of request %d of %q, the library says %v", read, data[:passed], err)
+			}
+			read++
+		}
+		if rest, _ := io.ReadAll(reader); ended && len(rest) > 0 {
+			t.Fatalf("the library leaves %q of %q", rest, data[:passed])
+		}
+	})
+}
+
+// passFraming returns how many bytes are passed on, how many whole requests
+// they hold, and whether they end with one.
+func passFraming(data []byte) (passed, whole int, ended bool) {
+	var f framing
+	for {
+		n, p := f.step(data[passed:], 1<<20)
+		if p != nil || n == 0 {
+			return passed, whole, f.state == inHead
+		}
+		passed += n
+		if f.state == inHead {
+			whole++
+		}
+	}
+}
+
+// TestFramingByteByByte checks that the cuts between reads change nothing.
+func TestFramingByteByByte(t *testing.T) {
+	for _, seed := range framingSeeds {
+		whole, wholeProblem := (&framing{}).advance([]byte(seed), 1<<20)
+		var f framing
+		done := 0
+		var p *problem
+		for end := 1; end <= len(seed) && p == nil; end++ {
+			var n int
+			n, p = f.advance([]byte(seed)[done:end], 1<<20)
+			done += n
+		}
+		if diff := cmp.Diff(wholeProblem, p); diff != "" || done != whole {
+			t.Errorf("request %q: %d bytes at once, %d byte by byte, problem (-at once +byte by byte):\n%s", seed, whole, done, diff)
+		}
+	}
+}
+
+// FuzzParseCall checks that what is accepted is within its limits.
+func FuzzParseCall(f *testing.F) {
+	f.Add("POST", "/seats/x?y=z", "key-1", "1.5s", "urgent", "lodge-7")
+	f.Add("GET", "/seats", "", "", "", "")
+	f.Fuzz(func(t *testing.T, method, target, key, timeout, urgency, name string) {
+		head := strings.Join([]string{
+			method + " " + target + " HTTP/1.1", "Host: a", HeaderKey + ": " + key, HeaderTimeout + ": " + timeout,
+			HeaderUrgency + ": " + urgency, HeaderCaller + ": " + name, "", "",
+		}, "\r\n")
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head)))
+		if err != nil {
+			return
+		}
+		c, p := parseCall(r, true)
+		if p != nil {
+			if p.Status < 400 || p.Status > 499 || p.Detail == "" {
+				t.Errorf("head %q is refused with %+v", head, p)
+			}
+			return
+		}
+		if c.service == "" || len(c.key) > maxKeyLength || c.timeout < 0 || len(c.caller) > maxCallerLength || (!c.idempotent && c.key == "") {
+			t.Errorf("head %q is accepted as %+v", head, c)
+		}
+	})
+}
--- a/io/jsonc/flags.go
+++ b/io/jsonc/flags.go
@@ -63,7 +63,7 @@
 	f := flags.Lookup(name)
 	old := f.Value.String()
 	if err := f.Value.Set(value); err != nil {
-		return err
+		return describe(f, value, err)
 	}
 	if old == "" {
 		return nil
@@ -71,6 +71,15 @@
 	return f.Value.Set(old)
 }
 
+// describe says what a value should be, where the library only says parse error.
+func describe(f *flag.Flag, value string, err error) error {
+	if err.Error() != "parse error" {
+		return err
+	}
+	kind, _ := flag.UnquoteUsage(f)
+	return merry.Errorf("value %q is not a %s", value, kind)
+}
+
 func contains(list []string, s string) bool {
 	for _, item := range list {
 		if item == s {
