--- a/bronzestair.go
+++ b/bronzestair.go
@@ -150,6 +150,7 @@
 		HeaderBytes:   s.MaxHeaderBytes,
 		Connections:   s.MaxConnections,
 		HeaderTimeout: s.HeaderTimeout,
+		BodyTimeout:   s.BodyTimeout,
 		IdleTimeout:   s.IdleTimeout,
 	}
 }
--- /dev/null
+++ b/cmd/bronzestaird/main_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"bronzestair/io/platform"
+	"bronzestair/standin"
+)
+
+const (
+	daemonVariable = "BRONZESTAIRD_RUNS_AS_DAEMON"
+	testTimeout    = 20 * time.Second
+)
+
+// TestMain runs the daemon itself in the processes that the tests start.
+func TestMain(m *testing.M) {
+	if os.Getenv(daemonVariable) != "" {
+		os.Unsetenv(daemonVariable)
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startDaemon starts a daemon process with flags.
+func startDaemon(t *testing.T, args ...string) *exec.Cmd {
+	t.Helper()
+	daemon := exec.Command(os.Args[0], args...)
+	daemon.Env = append(os.Environ(), daemonVariable+"=1")
+	daemon.Stderr = os.Stderr
+	if err := daemon.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = daemon.Process.Kill() })
+	return daemon
+}
+
+func serve(t *testing.T, h http.Handler) netip.AddrPort {
+	t.Helper()
+	s, err := standin.Serve(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Address
+}
+
+func awaitStatus(t *testing.T, url string, status int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
+		response, err := http.Get(url)
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == status {
+				return
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%s did not answer %d: %v", url, status, err)
+		}
+	}
+}
+
+// TestTermSignal sends SIGTERM to a daemon process with a request in flight:
+// readiness goes off, a request that comes during the drain delay is served,
+// none is cut off, the process ends well and the books have both lines.
+func TestTermSignal(t *testing.T) {
+	arrived, answer := make(chan string, 2), make(chan struct{})
+	backend := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- r.URL.Path
+		<-answer
+		fmt.Fprint(w, r.URL.Path)
+	}))
+	stand := standin.NewPlatform(0)
+	platformAddress := serve(t, stand)
+	stand.SetRow(platform.ConfigurationTable, platform.FleetKey, []byte(`{
+		"entries": [{"id": "entry-1", "peerAddress": "127.0.0.1:1"}],
+		"services": [{"id": "seats", "pool": "seats", "timeout": "10s"}],
+		"runners": [{"id": "seats-1", "pool": "seats", "address": "`+backend.String()+`"}]}`))
+	callers, operators := freeAddress(t), freeAddress(t)
+	daemon := startDaemon(t, "-caller-address", callers, "-operator-address", operators,
+		"-peer-address", freeAddress(t), "-platform-address", platformAddress.String(),
+		"-drain-delay", "2s", "-log-level", "error")
+	awaitStatus(t, "http://"+operators+"/readyz", http.StatusOK)
+
+	first := send(t, callers, "/one")
+	<-arrived
+	if err := daemon.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	awaitStatus(t, "http://"+operators+"/readyz", http.StatusServiceUnavailable)
+	second := send(t, callers, "/two")
+	<-arrived
+	close(answer)
+	for path, c := range map[string]net.Conn{"/one": first, "/two": second} {
+		if got := readBody(t, c); got != path {
+			t.Errorf("the caller of %s got %q", path, got)
+		}
+	}
+	if err := daemon.Wait(); err != nil {
+		t.Errorf("the daemon ended with %v", err)
+	}
+	checkBooks(t, platformAddress)
+}
+
+func send(t *testing.T, address, path string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	fmt.Fprintf(c, "POST /seats%s HTTP/1.1\r\nHost: a\r\nIdempotency-Key: %s\r\nContent-Length: 0\r\n\r\n", path, path)
+	return c
+}
+
+func readBody(t *testing.T, c net.Conn) string {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.TrimSpace(string(body))
+}
+
+func checkBooks(t *testing.T, address netip.AddrPort) {
+	t.Helper()
+	client := platform.NewClient(address)
+	defer client.Close()
+	batches, err := client.Batches(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	answered := 0
+	for _, b := range batches {
+		for _, line := range b.Lines {
+			if line.Verdict.String() == "answered" {
+				answered++
+			}
+		}
+	}
+	if answered != 2 {
+		t.Errorf("the books have %d answered lines, not 2", answered)
+	}
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -36,6 +36,7 @@
 	defaultHeaderBytes    = 16 << 10
 	defaultConnections    = 4096
 	defaultHeaderTimeout  = 5 * time.Second
+	defaultBodyTimeout    = 30 * time.Second
 	defaultIdleTimeout    = 60 * time.Second
 	defaultConnectTimeout = 1 * time.Second
 )
@@ -56,6 +57,7 @@
 	MaxHeaderBytes    int
 	MaxConnections    int
 	HeaderTimeout     time.Duration
+	BodyTimeout       time.Duration
 	IdleTimeout       time.Duration
 	ConnectTimeout    time.Duration
 }
@@ -83,6 +85,7 @@
 	flags.IntVar(&s.MaxHeaderBytes, "max-header-bytes", defaultHeaderBytes, "largest head of a request")
 	flags.IntVar(&s.MaxConnections, "max-connections", defaultConnections, "most connections of callers")
 	flags.DurationVar(&s.HeaderTimeout, "header-timeout", defaultHeaderTimeout, "how long a caller may take to send a head")
+	flags.DurationVar(&s.BodyTimeout, "body-timeout", defaultBodyTimeout, "how long a caller may take to send a body")
 	flags.DurationVar(&s.IdleTimeout, "idle-timeout", defaultIdleTimeout, "how long a caller's connection may be idle")
 	flags.DurationVar(&s.ConnectTimeout, "connect-timeout", defaultConnectTimeout, "how long connecting to a backend server may take")
 }
@@ -139,6 +142,7 @@
 	fault(s.MaxHeaderBytes < 1024, "maxHeaderBytes is %d, below 1024", s.MaxHeaderBytes)
 	fault(s.MaxConnections < 1, "maxConnections is %d, below 1", s.MaxConnections)
 	fault(s.HeaderTimeout <= 0, "headerTimeout is %v, not above 0", s.HeaderTimeout)
+	fault(s.BodyTimeout <= 0, "bodyTimeout is %v, not above 0", s.BodyTimeout)
 	fault(s.IdleTimeout <= 0, "idleTimeout is %v, not above 0", s.IdleTimeout)
 	fault(s.ConnectTimeout <= 0, "connectTimeout is %v, not above 0", s.ConnectTimeout)
 	return errors.Join(errs...)
--- a/deployment_test.go
+++ b/deployment_test.go
@@ -1,6 +1,7 @@
 package bronzestair_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,10 +33,49 @@
 	client   *http.Client
 	cancel   context.CancelFunc
 	ended    chan error
+	log      syncBuffer
+}
+
+// syncBuffer is a buffer that several goroutines may write to.
+type syncBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// span is a span as a log line shows it.
+type span struct {
+	Msg, Name, TraceID, SpanID, ParentSpanID string
+}
+
+// spans returns the spans of an entry that has ended.
+func (d *deployment) spans(t *testing.T) []span {
+	t.Helper()
+	var out []span
+	for decoder := json.NewDecoder(&d.log.Buffer); ; {
+		var s span
+		if err := decoder.Decode(&s); err != nil {
+			return out
+		}
+		if s.Msg == "span" {
+			out = append(out, s)
+		}
+	}
 }
 
 // startDeployment serves the service seats on runners of one slot each.
 func startDeployment(t *testing.T, runners ...netip.AddrPort) *deployment {
+	t.Helper()
+	return startDeploymentWith(t, func(*settings.Settings) {}, runners...)
+}
+
+// startDeploymentWith does the same with changed settings.
+func startDeploymentWith(t *testing.T, change func(*settings.Settings), runners ...netip.AddrPort) *deployment {
 	t.Helper()
 	f := fleet.Fleet{
 		Entries:  []fleet.Entry{{ID: "entry-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}},
@@ -57,12 +98,12 @@
 	t.Cleanup(server.Close)
 	t.Cleanup(d.client.CloseIdleConnections)
 	d.reader = platform.NewClient(server.Address)
-	d.run(t, server.Address)
+	d.run(t, server.Address, change)
 	return d
 }
 
 // run starts the entry and waits until it is ready.
-func (d *deployment) run(t *testing.T, platformAddress netip.AddrPort) {
+func (d *deployment) run(t *testing.T, platformAddress netip.AddrPort, change func(*settings.Settings)) {
 	t.Helper()
 	var listeners [3]net.Listener
 	for i := range listeners {
@@ -77,7 +118,9 @@
 	s.DrainDelay = 0
 	s.MaxHeaderBytes = 2048
 	s.MaxBodyBytes = 4_000_000
-	e, err := bronzestair.New(bronzestair.WithSettings(s), bronzestair.WithLogger(slog.New(slog.DiscardHandler)),
+	change(&s)
+	logger := slog.New(slog.NewJSONHandler(&d.log, nil))
+	e, err := bronzestair.New(bronzestair.WithSettings(s), bronzestair.WithLogger(logger),
 		bronzestair.WithCallerListener(listeners[0]),
 		bronzestair.WithOperatorListener(listeners[1]),
 		bronzestair.WithPeerListener(listeners[2]))
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -19,6 +19,7 @@
 	call    call
 	id      entry.RequestID
 	effects chan entry.Effect
+	timer   *time.Timer
 	// users counts the server and, while it knows the request, the reducer.
 	users atomic.Int32
 
@@ -89,6 +90,16 @@
 	exchangePool.Put(ex)
 }
 
+// startTimer returns the exchange's timer, which fires in d.
+func (ex *exchange) startTimer(d time.Duration) *time.Timer {
+	if ex.timer == nil {
+		ex.timer = time.NewTimer(d)
+	} else {
+		ex.timer.Reset(d)
+	}
+	return ex.timer
+}
+
 // reset makes an exchange ready for another request.
 func (ex *exchange) reset() {
 	for len(ex.effects) > 0 {
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -150,12 +150,15 @@
 		return effect
 	default:
 	}
-	timer := time.NewTimer(nextCheck(ex.deadline))
+	began := time.Now()
+	timer := ex.startTimer(nextCheck(ex.deadline))
 	defer timer.Stop()
 	for {
 		select {
 		case effect := <-ex.effects:
-			s.reportCaller(ex)
+			if time.Since(began) > callerCheck {
+				s.reportCaller(ex)
+			}
 			return effect
 		case <-timer.C:
 			s.reportCaller(ex)
--- /dev/null
+++ b/limits_test.go
@@ -0,0 +1,130 @@
+package bronzestair_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/settings"
+	"bronzestair/io/caller"
+	"bronzestair/standin"
+)
+
+// startLimited serves one stand-in runner with changed settings.
+func startLimited(t *testing.T, change func(*settings.Settings)) *deployment {
+	t.Helper()
+	server, err := standin.Serve(standin.NewRunner("seats-1", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return startDeploymentWith(t, change, server.Address)
+}
+
+// TestSlowCallerIsCutOff has callers send half a head, half a body, or nothing.
+func TestSlowCallerIsCutOff(t *testing.T) {
+	d := startLimited(t, func(s *settings.Settings) {
+		s.HeaderTimeout = 50 * time.Millisecond
+		s.BodyTimeout = 50 * time.Millisecond
+		s.IdleTimeout = 50 * time.Millisecond
+	})
+	for name, sent := range map[string]string{
+		"half a head": "POST /seats/x HTTP/1.1\r\nHost: a\r\n",
+		"half a body": "POST /seats/x HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\nContent-Length: 10\r\n\r\nhalf",
+		"nothing":     "",
+	} {
+		c, err := net.Dial("tcp", d.callers.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(testTimeout))
+		fmt.Fprint(c, sent)
+		answer, err := io.ReadAll(c)
+		c.Close()
+		if err != nil || strings.Contains(string(answer), "200 OK") {
+			t.Errorf("%s: answer %q, error %v; the connection should be closed", name, answer, err)
+		}
+	}
+}
+
+// TestLongRequestOutlastsIdleTimeout has a request run for longer than a
+// connection may be idle.
+func TestLongRequestOutlastsIdleTimeout(t *testing.T) {
+	h := &held{arrived: make(chan *heldRequest, 1)}
+	server, err := standin.Serve(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	d := startDeploymentWith(t, func(s *settings.Settings) { s.IdleTimeout = 20 * time.Millisecond }, server.Address)
+	c := d.open(t, "one")
+	one := <-h.arrived
+	time.Sleep(100 * time.Millisecond)
+	close(one.answer)
+	if got := readAnswer(t, c); got != "one" {
+		t.Errorf("the caller got %q", got)
+	}
+}
+
+// TestConnectionsAreBounded has more callers connect than are allowed: the
+// last one is served once another has left.
+func TestConnectionsAreBounded(t *testing.T) {
+	d := startLimited(t, func(s *settings.Settings) { s.MaxConnections = 2 })
+	first, second := d.open(t, "one"), d.open(t, "two")
+	readAnswer(t, first)
+	readAnswer(t, second)
+	third := d.open(t, "three")
+	_ = third.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if n, err := third.Read(make([]byte, 1)); err == nil {
+		t.Fatalf("the third of two connections got %d bytes", n)
+	}
+	_ = third.SetReadDeadline(time.Now().Add(testTimeout))
+	first.Close()
+	if got := readAnswer(t, third); got != "done by seats-1\n" {
+		t.Errorf("the third caller got %q", got)
+	}
+}
+
+// TestTraceContextIsPassedOn checks the hops of a sampled request: each has a
+// span in the same trace, whose parent is the hop before.
+func TestTraceContextIsPassedOn(t *testing.T) {
+	const trace, parent = "0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"
+	seen := make(chan string, 1)
+	server, err := standin.Serve(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Get("Traceparent")
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	d := startDeployment(t, server.Address)
+	request, err := http.NewRequest(http.MethodGet, "http://"+d.callers.String()+"/seats/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Traceparent", "00-"+trace+"-"+parent+"-01")
+	request.Header.Set(caller.HeaderTimeout, "20s")
+	response, err := d.client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	d.stop(t)
+
+	spans := d.spans(t)
+	if len(spans) != 2 {
+		t.Fatalf("%d spans, not one for each of 2 hops: %v", len(spans), spans)
+	}
+	attempt, entry := spans[0], spans[1]
+	got := []string{attempt.TraceID, entry.TraceID, entry.ParentSpanID, attempt.ParentSpanID, <-seen}
+	want := []string{trace, trace, parent, entry.SpanID, "00-" + trace + "-" + attempt.SpanID + "-01"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("trace ids, parents and what the backend server saw (-want +got):\n%s", diff)
+	}
+}
