--- a/core/entry/lending_test.go
+++ b/core/entry/lending_test.go
@@ -256,3 +256,37 @@
 		i = 0
 	}
 }
+
+// TestLostLoanComesBack has the answer to an ask get lost: the lender has its
+// slot back as soon as the borrower says so, not when the term has ended.
+func TestLostLoanComesBack(t *testing.T) {
+	n := newLendingNet()
+	n.deliverAll(func(lendingMessage) bool { return true })
+	held := func() int {
+		sum := 0
+		for _, state := range n.states {
+			sum += state.Status().Services[0].Held
+		}
+		return sum
+	}
+	if held() != lendingSlots {
+		t.Fatalf("%d of %d slots are held at the start", held(), lendingSlots)
+	}
+	for range lendingSlots {
+		n.arrive("entry-1")
+	}
+	isLoan := func(m lendingMessage) bool {
+		e, ok := m.event.(*entry.SlotsBorrowed)
+		return ok && len(e.Loans) > 0
+	}
+	n.deliverAll(func(m lendingMessage) bool { return !isLoan(m) })
+	i := slices.IndexFunc(n.messages, isLoan)
+	if i < 0 {
+		t.Fatal("no peer lends a slot")
+	}
+	n.deliver(i, true)
+	n.deliverAll(func(m lendingMessage) bool { _, ok := m.event.(*entry.SlotsReturned); return ok })
+	if held() != lendingSlots {
+		t.Errorf("%d of %d slots are held after the loan got lost", held(), lendingSlots)
+	}
+}
--- a/core/entry/request_test.go
+++ b/core/entry/request_test.go
@@ -232,6 +232,11 @@
 		}, []string{"refuse notRun displaced", "record notRun"}},
 		{"not sent is tried again", func(p *path) { p.arrive(1, p.in(second)); p.end(1, entry.NotSent) },
 			[]string{"dispatch"}},
+		{"a freed slot goes to the next in the queue", func(p *path) {
+			p.arrive(1, p.in(second))
+			p.arrive(2, p.in(second))
+			p.submit(&entry.AttemptEnded{Request: 1, Attempt: 1, Result: entry.Succeeded})
+		}, []string{"deliver", "dispatch"}},
 		{"broken is not tried again", func(p *path) { p.arrive(1, p.in(second)); p.end(1, entry.Broken) },
 			[]string{"refuse mayHaveRun answerBroken", "record mayHaveRun"}},
 		{"a later attempt that is not sent does not undo an earlier one", func(p *path) {
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -11,8 +11,6 @@
 
 const (
 	readChunkBytes = 4 << 10
-	// unlimited is longer than any request lasts.
-	unlimited = 365 * 24 * time.Hour
 	// refusedPath takes the place of a request that was refused before it was parsed.
 	refusedPath    = "/.refused"
 	refusedRequest = "GET " + refusedPath + " HTTP/1.1\r\nHost: refused\r\nConnection: close\r\n\r\n"
@@ -119,8 +117,6 @@
 	}
 	limit := c.limits.IdleTimeout
 	switch {
-	case c.active.Load() && c.framing.state == inHead && !partial:
-		limit = unlimited
 	case c.framing.state != inHead:
 		limit = c.limits.BodyTimeout
 	case partial:
