Read the configuration and the list of instances only when changed

Cause: an entry read the whole configuration and list every second: 456 KB for 4300 runners, against a budget of 7 KB/s. Change: entity tags; an unchanged value brings no body. Benchmarks for the state's memory, the tick's time and the bytes of a poll.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -68,6 +68,8 @@
 	operators *operator.Server
 	peers     *peer.Peers
 	stopping  atomic.Bool
+	// listTag tells the last list of instances that was read.
+	listTag string
 }
 
 // Option changes a default of New.
@@ -262,28 +264,40 @@
 	})
 }
 
-// refresh asks the platform once.
+// refresh asks the platform once. What is unchanged does not travel.
 func (e *Entry) refresh(ctx context.Context) error {
-	f, err := e.platform.Fleet(ctx)
-	if err != nil {
+	if err := e.refreshFleet(ctx); err != nil && !errors.Is(err, platform.ErrUnchanged) {
 		return err
 	}
-	if f.Version > e.directory.version() {
-		if err := f.Check(); err != nil {
-			return merry.Prependf(err, "configuration %d", f.Version)
-		}
-		e.directory.set(f)
-		e.loop.Submit(&entry.Configured{Fleet: f})
-		e.logger.Info("configuration in force", "version", f.Version)
+	list, tag, err := e.platform.Instances(ctx, e.listTag)
+	if errors.Is(err, platform.ErrUnchanged) {
+		return nil
 	}
-	list, err := e.platform.Instances(ctx)
 	if err != nil {
 		return err
 	}
+	e.listTag = tag
 	e.loop.Submit(&entry.Listed{Leaving: leaving(list)})
 	return nil
 }
 
+func (e *Entry) refreshFleet(ctx context.Context) error {
+	known := e.directory.version()
+	f, err := e.platform.Fleet(ctx, known)
+	if err != nil || f.Version <= known {
+		return err
+	}
+	if err := f.Check(); err != nil {
+		return merry.Prependf(err, "configuration %d", f.Version)
+	}
+	e.directory.set(f)
+	e.loop.Submit(&entry.Configured{Fleet: f})
+	// Runners that are new to the reducer have to hear of the list, too.
+	e.listTag = ""
+	e.logger.Info("configuration in force", "version", f.Version)
+	return nil
+}
+
 func leaving(list []platform.Instance) []runner.ID {
 	var out []runner.ID
 	for _, instance := range list {
--- /dev/null
+++ b/capacity_bench_test.go
@@ -0,0 +1,124 @@
+package bronzestair_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bronzestair/core/entry"
+	"bronzestair/core/fleet"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
+	"bronzestair/io/platform"
+	"bronzestair/standin"
+)
+
+// largeFleet returns seven entries and a service for about every 84 runners.
+func largeFleet(runners int) *fleet.Fleet {
+	f := &fleet.Fleet{Version: 1}
+	address := netip.MustParseAddrPort("127.0.0.1:9001")
+	for i := range 7 {
+		f.Entries = append(f.Entries, fleet.Entry{ID: fleet.EntryID(fmt.Sprintf("entry-%d", i+1)), PeerAddress: address})
+	}
+	pools := max(runners/84, 1)
+	for i := range pools {
+		id := fmt.Sprintf("service-%d", i+1)
+		f.Services = append(f.Services, service.Service{ID: service.ID(id), Pool: service.PoolID(id)})
+	}
+	for i := range runners {
+		rack, dataCentre := standin.Place(i)
+		f.Runners = append(f.Runners, runner.Runner{
+			ID: runner.ID(fmt.Sprintf("runner-%d", i+1)), Pool: f.Services[i%pools].Pool,
+			Address: address, Rack: rack, DataCentre: dataCentre,
+		})
+	}
+	return f
+}
+
+var fleetSizes = []int{50, 500, 4300}
+
+// BenchmarkFleetState measures the memory of an entry's state and the time of
+// a tick, of which there are 20 a second.
+func BenchmarkFleetState(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
+			f := largeFleet(n)
+			before := heap()
+			state := entry.New("entry-1")
+			configured := &entry.Configured{Fleet: f}
+			configured.Stamp(time.Unix(1, 0), 1)
+			state.Reduce(configured, nil)
+			used := heap() - before
+			var effects []entry.Effect
+			b.ResetTimer()
+			for i := range b.N {
+				tick := &entry.Ticked{}
+				tick.Stamp(time.Unix(1, int64(i)), uint64(i))
+				effects = state.Reduce(tick, effects[:0])
+			}
+			b.ReportMetric(float64(used)/float64(n), "stateB/runner")
+			runtime.KeepAlive(state)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkPoll measures the bytes that a poll of the platform brings, of
+// which there is one a second, without and with a change of the configuration.
+func BenchmarkPoll(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) { benchmarkPoll(b, n) })
+	}
+}
+
+func benchmarkPoll(b *testing.B, runners int) {
+	value, err := json.Marshal(largeFleet(runners))
+	if err != nil {
+		b.Fatal(err)
+	}
+	stand := standin.NewPlatform(0)
+	stand.SetRow(platform.ConfigurationTable, platform.FleetKey, value)
+	var bytes atomic.Int64
+	server, err := standin.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		stand.ServeHTTP(countingWriter{w, &bytes}, r)
+	}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer server.Close()
+	client := platform.NewClient(server.Address)
+	defer client.Close()
+	f, err := client.Fleet(b.Context(), 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	whole := bytes.Swap(0)
+	for range b.N {
+		_, _ = client.Fleet(b.Context(), f.Version)
+		_, _, _ = client.Instances(b.Context(), platform.RowTag(0))
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bodyB/poll")
+	b.ReportMetric(float64(whole), "bodyB/change")
+}
+
+// countingWriter counts the bytes of answers' bodies.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	w.bytes.Add(int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -47,6 +47,12 @@
 // ErrConflict says that a row has another version than was expected.
 var ErrConflict = merry.New("the row has another version")
 
+// ErrUnchanged says that a value is the one that is known.
+var ErrUnchanged = merry.New("the value is unchanged")
+
+// RowTag returns the entity tag of a row's version.
+func RowTag(v RowVersion) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
+
 // RowVersion numbers the writes of a row. It is 0 for a row that does not exist.
 type RowVersion uint64
 
@@ -82,7 +88,11 @@
 
 // Row reads a row. It returns ErrNotFound if there is none.
 func (c *Client) Row(ctx context.Context, table, key string) (Row, error) {
-	header, body, err := c.do(ctx, http.MethodGet, rowPath(table, key), nil, nil)
+	return c.row(ctx, table, key, "")
+}
+
+func (c *Client) row(ctx context.Context, table, key, known string) (Row, error) {
+	header, body, err := c.do(ctx, http.MethodGet, rowPath(table, key), condition(known), nil)
 	if err != nil {
 		return Row{}, err
 	}
@@ -125,16 +135,36 @@
 	return names, err
 }
 
-// Instances reads the list of instances. The list lags.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+// Instances reads the list of instances, which lags, and its tag. It returns
+// ErrUnchanged if the list still has the known tag.
+func (c *Client) Instances(ctx context.Context, known string) ([]Instance, string, error) {
+	header, body, err := c.do(ctx, http.MethodGet, "/instances", condition(known), nil)
+	if err != nil {
+		return nil, "", err
+	}
 	var list []Instance
-	err := c.getJSON(ctx, "/instances", &list)
-	return list, err
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, "", merry.Prepend(err, "reading the list of instances")
+	}
+	return list, header.Get("ETag"), nil
 }
 
-// Fleet reads the configuration.
-func (c *Client) Fleet(ctx context.Context) (*fleet.Fleet, error) {
-	row, err := c.Row(ctx, ConfigurationTable, FleetKey)
+// condition asks for a value only if it has another tag than the known one.
+func condition(known string) http.Header {
+	if known == "" {
+		return nil
+	}
+	return http.Header{"If-None-Match": {known}}
+}
+
+// Fleet reads the configuration. It returns ErrUnchanged if it still has the
+// known version.
+func (c *Client) Fleet(ctx context.Context, known fleet.Version) (*fleet.Fleet, error) {
+	tag := ""
+	if known > 0 {
+		tag = RowTag(RowVersion(known))
+	}
+	row, err := c.row(ctx, ConfigurationTable, FleetKey, tag)
 	if err != nil {
 		return nil, err
 	}
@@ -210,6 +240,8 @@
 	switch {
 	case response.StatusCode == http.StatusNotFound:
 		return nil, nil, ErrNotFound
+	case response.StatusCode == http.StatusNotModified:
+		return nil, nil, ErrUnchanged
 	case response.StatusCode == http.StatusConflict:
 		return nil, nil, ErrConflict
 	case response.StatusCode >= 300:
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -139,7 +139,7 @@
 		return c.NoContent(http.StatusNotFound)
 	}
 	c.Response().Header().Set("Row-Version", strconv.FormatUint(uint64(row.Version), 10))
-	return c.Blob(http.StatusOK, echo.MIMEOctetStream, row.Value)
+	return unlessKnown(c, platform.RowTag(row.Version), row.Value)
 }
 
 func (p *Platform) putRow(c echo.Context) error {
@@ -209,9 +209,11 @@
 	p.mu.Lock()
 	p.reads++
 	list := []platform.Instance{}
-	for _, l := range p.instances {
+	version := 0
+	for i, l := range p.instances {
 		if !l.at.After(visible) {
 			list = l.list
+			version = i + 1
 		}
 	}
 	body, err := json.Marshal(list)
@@ -219,5 +221,14 @@
 	if err != nil {
 		return err
 	}
-	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, body)
+	return unlessKnown(c, platform.RowTag(platform.RowVersion(version)), body)
+}
+
+// unlessKnown answers with a value, or 304 if the caller knows its tag.
+func unlessKnown(c echo.Context, tag string, value []byte) error {
+	c.Response().Header().Set("ETag", tag)
+	if c.Request().Header.Get("If-None-Match") == tag {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, value)
 }
