Look for an effect a little longer before sleeping

Cause: a goroutine whose event another one reduces slept and had to be woken. Change: it looks up to a thousand times first.

--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -23,6 +23,9 @@
 // callerCheck is how often a waiting caller's connection is looked at.
 const callerCheck = 20 * time.Millisecond
 
+// effectSpins is how often an effect is looked for before the goroutine sleeps.
+const effectSpins = 1000
+
 // deadlineRecheck is when a deadline is reported again that the reducer's clock had not reached.
 const deadlineRecheck = 5 * time.Millisecond
 
@@ -178,10 +181,12 @@
 // await returns the next effect for the exchange. Meanwhile it reports the
 // deadline and the caller's leaving.
 func (s *Server) await(ex *exchange) entry.Effect {
-	select {
-	case effect := <-ex.effects:
-		return effect
-	default:
+	// Another goroutine may be about to reduce the event. Looking a little longer
+	// is cheaper than to sleep and be woken.
+	for range effectSpins {
+		if len(ex.effects) > 0 {
+			return <-ex.effects
+		}
 	}
 	began := time.Now()
 	timer := ex.startTimer(nextCheck(ex.deadline))
