--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bronzestair/io/socket"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,9 @@
 
 const (
 	readChunkBytes = 4 << 10
+	// lingerTimeout and lingerBytes bound the reading of a body that is not wanted any more.
+	lingerTimeout = 2 * time.Second
+	lingerBytes   = 64 << 20
 	// refusedPath takes the place of a request that was refused before it was parsed.
 	refusedPath    = "/.refused"
 	refusedRequest = "GET " + refusedPath + " HTTP/1.1\r\nHost: refused\r\nConnection: close\r\n\r\n"
@@ -157,10 +161,24 @@
 
 // Close closes the connection and makes room for another.
 func (c *conn) Close() error {
-	c.closed.Do(c.leave)
+	c.closed.Do(func() {
+		c.linger()
+		c.leave()
+	})
 	return c.Conn.Close()
 }
 
+// linger lets a caller that still sends a body read its answer first: closing
+// with unread bytes resets the connection, and the answer would be lost.
+func (c *conn) linger() {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || c.framing.state == inHead || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
 // listener wraps the connections of callers and bounds how many are open.
 type listener struct {
 	net.Listener
