--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -17,12 +17,10 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"time"
 
@@ -115,39 +113,6 @@
 	return &b
 }}
 
-// Error is a failed attempt.
-type Error struct {
-	// Verdict is NotRun or MayHaveRun.
-	Verdict verdict.Verdict
-	// Timeout says that the deadline passed.
-	Timeout bool
-	cause   error
-}
-
-// Error implements error.
-func (e *Error) Error() string {
-	return "backend: " + e.Verdict.String() + ": " + e.cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.cause }
-
-// VerdictOf returns the verdict of a failed attempt. An error of unknown
-// origin is MayHaveRun.
-func VerdictOf(err error) verdict.Verdict {
-	var e *Error
-	if errors.As(err, &e) {
-		return e.Verdict
-	}
-	return verdict.MayHaveRun
-}
-
-// IsTimeout reports whether the deadline ended the attempt.
-func IsTimeout(err error) bool {
-	var e *Error
-	return errors.As(err, &e) && e.Timeout
-}
-
 // Client sends attempts. Use NewClient.
 type Client struct {
 	connectTimeout time.Duration
@@ -328,8 +293,3 @@
 	}
 	return failure(v, err)
 }
-
-func failure(v verdict.Verdict, cause error) error {
-	timeout := errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded)
-	return &Error{Verdict: v, Timeout: timeout, cause: merry.Wrap(cause, merry.NoCaptureStack())}
-}
--- /dev/null
+++ b/io/backend/error_test.go
@@ -0,0 +1,34 @@
+package backend_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/verdict"
+	"bronzestair/io/backend"
+)
+
+// TestErrors checks what is told of failed attempts, by their cause.
+func TestErrors(t *testing.T) {
+	tests := []struct {
+		err     error
+		verdict verdict.Verdict
+		timeout bool
+		text    string
+	}{
+		{backend.NotSent(fmt.Errorf("no runner")), verdict.NotRun, false, "backend: notRun: no runner"},
+		{backend.NotSent(os.ErrDeadlineExceeded), verdict.NotRun, true, "backend: notRun: i/o timeout"},
+		{fmt.Errorf("wrapped: %w", backend.NotSent(context.DeadlineExceeded)), verdict.NotRun, true, "wrapped: backend: notRun: context deadline exceeded"},
+		{fmt.Errorf("of unknown origin"), verdict.MayHaveRun, false, "of unknown origin"},
+	}
+	for _, test := range tests {
+		got := []any{backend.VerdictOf(test.err), backend.IsTimeout(test.err), test.err.Error()}
+		if diff := cmp.Diff([]any{test.verdict, test.timeout, test.text}, got); diff != "" {
+			t.Errorf("error %v (-want +got):\n%s", test.err, diff)
+		}
+	}
+}
--- /dev/null
+++ b/io/caller/attempt.go
@@ -0,0 +1,189 @@
+package caller
+
+import (
+	"bronzestair/core/entry"
+	"bronzestair/core/verdict"
+	"bronzestair/io/backend"
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// clientSpan are the options of the span of an attempt.
+var clientSpan = []trace.SpanStartOption{trace.WithSpanKind(trace.SpanKindClient)}
+
+// attempt carries out a dispatch and reports how it ended. A streamed answer
+// ends the exchange; otherwise the reducer's next effect says what to do.
+func (s *Server) attempt(ctx context.Context, ex *exchange, effect entry.Effect, w http.ResponseWriter) (v verdict.Verdict, ended bool) {
+	span := trace.SpanFromContext(ctx)
+	if span.IsRecording() {
+		ctx, span = s.tracer.Start(ctx, "backend.attempt", clientSpan...)
+		defer span.End()
+	}
+	if span.SpanContext().IsValid() {
+		traceContext.Inject(ctx, propagation.HeaderCarrier(ex.request.Header))
+	}
+	if ex.left {
+		s.reportAttempt(ex, effect, entry.NotSent)
+		return verdict.NotRun, false
+	}
+	answer, err := s.send(ex, effect, w)
+	if err != nil {
+		span.RecordError(err)
+		s.logger.Debug("attempt failed", "service", ex.call.service, "runner", effect.Runner, "error", err)
+		s.reportAttempt(ex, effect, resultOf(err))
+		return verdict.NotRun, false
+	}
+	defer answer.Close()
+	if !answer.Whole {
+		return s.stream(ex, effect, answer, w)
+	}
+	answer.Close()
+	ex.answer = answer
+	s.reportAttempt(ex, effect, resultOfStatus(answer.Status))
+	return verdict.NotRun, false
+}
+
+// send sends one attempt.
+func (s *Server) send(ex *exchange, effect entry.Effect, w http.ResponseWriter) (*backend.Answer, error) {
+	endpoint, ok := s.directory.Runner(effect.Runner)
+	if !ok {
+		return nil, backend.NotSent(merry.Errorf("runner %q is no longer in the configuration", effect.Runner))
+	}
+	attempt := backend.Attempt{
+		Address:  endpoint.Address,
+		MaxIdle:  endpoint.Connections,
+		Request:  ex.request,
+		Body:     ex.body.held,
+		Deadline: ex.deadline,
+		NotAfter: effect.NotAfter,
+	}
+	if ex.body.stream != nil {
+		control := http.NewResponseController(w)
+		attempt.Stream = ex.body.stream
+		attempt.StopStream = func() { _ = control.SetReadDeadline(time.Now()) }
+	}
+	// The attempt goes on when the caller leaves: its verdict must be known.
+	return s.sender.Send(context.Background(), attempt)
+}
+
+// reportCaller tells the reducer if the caller has left.
+func (s *Server) reportCaller(ex *exchange) {
+	if ex.left || ex.conn == nil || !ex.conn.gone() {
+		return
+	}
+	ex.left = true
+	s.loop.Submit(&entry.CallerLeft{Request: ex.id})
+}
+
+// reportAttempt tells the reducer how an attempt ended.
+func (s *Server) reportAttempt(ex *exchange, effect entry.Effect, result entry.Result) {
+	if time.Since(ex.received) > callerCheck {
+		s.reportCaller(ex)
+	}
+	ex.attempted = entry.AttemptEnded{
+		Request:  ex.id,
+		Attempt:  effect.Attempt,
+		Result:   result,
+		Consumed: ex.body.consumed(),
+	}
+	s.loop.Submit(&ex.attempted)
+}
+
+func resultOf(err error) entry.Result {
+	switch {
+	case backend.VerdictOf(err) == verdict.NotRun:
+		return entry.NotSent
+	case backend.IsTimeout(err):
+		return entry.TimedOut
+	default:
+		return entry.Broken
+	}
+}
+
+func resultOfStatus(status int) entry.Result {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return entry.Failed
+	}
+	return entry.Succeeded
+}
+
+// deliver writes a whole answer and reports whether the caller's connection took it.
+func (s *Server) deliver(ex *exchange, w http.ResponseWriter) verdict.Verdict {
+	answer := ex.answer
+	writeHead(w, answer)
+	_, err := w.Write(answer.Held)
+	if err == nil {
+		err = http.NewResponseController(w).Flush()
+	}
+	return s.reportDelivered(ex, err == nil)
+}
+
+func (s *Server) reportDelivered(ex *exchange, whole bool) verdict.Verdict {
+	ex.done = entry.Delivered{Request: ex.id, Whole: whole}
+	s.loop.Submit(&ex.done)
+	if whole {
+		return verdict.Answered
+	}
+	return verdict.MayHaveRun
+}
+
+// stream passes a large answer on while it comes. A caller whose answer is cut
+// off sees its connection break.
+func (s *Server) stream(ex *exchange, effect entry.Effect, answer *backend.Answer, w http.ResponseWriter) (v verdict.Verdict, ended bool) {
+	s.reportCaller(ex)
+	ex.started = entry.AnswerStarted{Request: ex.id, Attempt: effect.Attempt}
+	s.loop.Submit(&ex.started)
+	if next := <-ex.effects; next.Kind != entry.Deliver {
+		answer.Close()
+		s.reportAttempt(ex, effect, entry.Broken)
+		return verdict.MayHaveRun, false
+	}
+	writeHead(w, answer)
+	_, err := w.Write(answer.Held)
+	if err == nil {
+		err = answer.Copy(w)
+	}
+	answer.Close()
+	result := resultOfStatus(answer.Status)
+	if !answer.Whole {
+		result = entry.Broken
+	}
+	s.reportAttempt(ex, effect, result)
+	if err == nil {
+		err = http.NewResponseController(w).Flush()
+	}
+	v = s.reportDelivered(ex, err == nil)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return v, true
+}
+
+// writeHead passes the head of an answer on.
+func writeHead(w http.ResponseWriter, answer *backend.Answer) {
+	h := w.Header()
+	dropHopHeaders(answer.Header)
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	h[HeaderVerdict] = []string{verdict.Answered.String()}
+	if answer.Whole && bodyAllowed(answer) {
+		h["Content-Length"] = []string{strconv.Itoa(len(answer.Held))}
+	}
+	w.WriteHeader(answer.Status)
+}
+
+// bodyAllowed reports whether the length of the held body is the length of the answer.
+func bodyAllowed(answer *backend.Answer) bool {
+	if answer.Status == http.StatusNoContent || answer.Status == http.StatusNotModified {
+		return false
+	}
+	return len(answer.Held) > 0 || answer.Header.Get("Content-Length") == ""
+}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -6,7 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"bronzestair/core/book"
 	"bronzestair/core/entry"
+	"bronzestair/core/verdict"
 	"bronzestair/io/backend"
 )
 
@@ -90,6 +92,17 @@
 	exchangePool.Put(ex)
 }
 
+// line returns the book line in which the exchange ends.
+func (ex *exchange) line(v verdict.Verdict) book.Line {
+	return book.Line{
+		Caller:  ex.call.caller,
+		Service: ex.call.service,
+		Key:     ex.call.key,
+		Verdict: v,
+		At:      time.Now(),
+	}
+}
+
 // startTimer returns the exchange's timer, which fires in d.
 func (ex *exchange) startTimer(d time.Duration) *time.Timer {
 	if ex.timer == nil {
--- /dev/null
+++ b/io/caller/prepare.go
@@ -0,0 +1,66 @@
+package caller
+
+import (
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// prepare reads the request as far as it has to be known before it is decided on.
+func (s *Server) prepare(ex *exchange, w http.ResponseWriter, r *http.Request) *problem {
+	ex.received = time.Now()
+	ex.conn = connOf(r.Context())
+	if r.URL.Path == refusedPath && ex.conn != nil && ex.conn.refusal != nil {
+		return ex.conn.refusal
+	}
+	call, p := parseCall(r, s.trustCaller)
+	ex.call = call
+	if p != nil {
+		return p
+	}
+	svc, ok := s.directory.Service(call.service)
+	if !ok {
+		return newProblem(http.StatusNotFound, "service %q does not exist", call.service)
+	}
+	if call.timeout == 0 {
+		call.timeout = svc.DefaultTimeout()
+	}
+	if call.timeout > svc.LongestTimeout() {
+		return badRequest("header %s is %v, over %v of service %q", HeaderTimeout, call.timeout, svc.LongestTimeout(), svc.ID)
+	}
+	ex.call.timeout = call.timeout
+	ex.deadline = ex.received.Add(call.timeout)
+	if r.ContentLength < 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+	}
+	ex.body, p = readBody(r, s.limits.BodyBytes)
+	if p != nil {
+		return p
+	}
+	ex.request = outgoing(r, ex)
+	return nil
+}
+
+// outgoing returns the head that goes to a backend server.
+func outgoing(r *http.Request, ex *exchange) *http.Request {
+	header := r.Header
+	dropHopHeaders(header)
+	delete(header, "Expect")
+	delete(header, "Content-Length")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // An absent key would make the library add its own.
+	}
+	header[HeaderDeadline] = []string{ex.deadline.UTC().Format(time.RFC3339Nano)}
+	header[HeaderCaller] = []string{string(ex.call.caller)}
+	path, err := url.PathUnescape(ex.call.path)
+	if err != nil {
+		path = ex.call.path
+	}
+	return &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Path: path, RawPath: ex.call.path, RawQuery: r.URL.RawQuery},
+		Host:          r.Host,
+		Header:        header,
+		ContentLength: ex.body.length,
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -215,13 +215,7 @@
 		return
 	}
 	if effect.Kind == entry.Record {
-		s.books.Add(book.Line{
-			Caller:  ex.call.caller,
-			Service: ex.call.service,
-			Key:     ex.call.key,
-			Verdict: effect.Verdict,
-			At:      time.Now(),
-		})
+		s.books.Add(ex.line(effect.Verdict))
 		s.exchanges.release(ex)
 		return
 	}
