Record accepted changes of the configuration with the configuration

Cause: operators had no way to change the configuration, and a lost answer could not be settled. Change: one row holds the configuration and its latest changes; a change names its operation and the version that it replaces; a lost answer is settled by writing again under that condition and reading the operations. Fleet defaults, and exceptions that need a reason, in place of limits per service.

--- a/capacity_bench_test.go
+++ b/capacity_bench_test.go
@@ -1,7 +1,6 @@
 package bronzestair_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -83,12 +82,10 @@
 }
 
 func benchmarkPoll(b *testing.B, runners int) {
-	value, err := json.Marshal(largeFleet(runners))
-	if err != nil {
+	stand := standin.NewPlatform(0)
+	if err := stand.SetFleet(*largeFleet(runners)); err != nil {
 		b.Fatal(err)
 	}
-	stand := standin.NewPlatform(0)
-	stand.SetRow(platform.ConfigurationTable, platform.FleetKey, value)
 	var bytes atomic.Int64
 	server, err := standin.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		stand.ServeHTTP(countingWriter{w, &bytes}, r)
--- a/cmd/bronzestair/demo_fleet.go
+++ b/cmd/bronzestair/demo_fleet.go
@@ -10,7 +10,6 @@
 	"bronzestair/io/platform"
 	"bronzestair/standin"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/netip"
@@ -119,12 +118,8 @@
 
 // configure writes the configuration and the list of instances to the platform.
 func (f *demoFleet) configure(ctx context.Context) error {
-	value, err := json.Marshal(f.config)
-	if err != nil {
-		return err
-	}
-	_, err = f.client.PutRow(ctx, platform.ConfigurationTable, platform.FleetKey, 0, value)
-	if err != nil {
+	change := fleet.Change{Operation: "demo", Operator: "demo", Note: "the first configuration", At: time.Now()}
+	if _, err := f.client.Apply(ctx, f.config, change, platform.AnyVersion); err != nil {
 		return err
 	}
 	var list []platform.Instance
--- a/cmd/bronzestaird/main_test.go
+++ b/cmd/bronzestaird/main_test.go
@@ -14,6 +14,10 @@
 	"testing"
 	"time"
 
+	"bronzestair/core/fleet"
+	"bronzestair/core/period"
+	"bronzestair/core/runner"
+	"bronzestair/core/service"
 	"bronzestair/io/platform"
 	"bronzestair/standin"
 )
@@ -95,10 +99,14 @@
 	}))
 	stand := standin.NewPlatform(0)
 	platformAddress := serve(t, stand)
-	stand.SetRow(platform.ConfigurationTable, platform.FleetKey, []byte(`{
-		"entries": [{"id": "entry-1", "peerAddress": "127.0.0.1:1"}],
-		"services": [{"id": "seats", "pool": "seats", "timeout": "10s"}],
-		"runners": [{"id": "seats-1", "pool": "seats", "address": "`+backend.String()+`"}]}`))
+	if err := stand.SetFleet(fleet.Fleet{
+		Entries:  []fleet.Entry{{ID: "entry-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}},
+		Defaults: service.Limits{Timeout: period.Period(10 * time.Second)},
+		Services: []service.Service{{ID: "seats", Pool: "seats"}},
+		Runners:  []runner.Runner{{ID: "seats-1", Pool: "seats", Address: backend}},
+	}); err != nil {
+		t.Fatal(err)
+	}
 	callers, operators := freeAddress(t), freeAddress(t)
 	daemon := startDaemon(t, "-caller-address", callers, "-operator-address", operators,
 		"-peer-address", freeAddress(t), "-platform-address", platformAddress.String(),
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"os"
 	"time"
@@ -53,14 +52,13 @@
 	if err := jsonc.Unmarshal(name, data, &f); err != nil {
 		return err
 	}
+	f.Resolve()
 	if err := f.Check(); err != nil {
 		return merry.Prepend(err, name)
 	}
-	value, err := json.Marshal(f)
-	if err != nil {
+	if err := p.SetFleet(f); err != nil {
 		return err
 	}
-	p.SetRow(platform.ConfigurationTable, platform.FleetKey, value)
 	var list []platform.Instance
 	for _, r := range f.Runners {
 		list = append(list, platform.Instance{ID: r.ID})
--- a/core/entry/request_test.go
+++ b/core/entry/request_test.go
@@ -138,7 +138,7 @@
 func TestEveryRequestEndsOnceAndTruly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPath(
-			[]service.Service{{ID: "seats", Pool: "seats", QueueLength: 3}},
+			[]service.Service{{ID: "seats", Pool: "seats", Limits: service.Limits{QueueLength: 3}}},
 			[]runner.Runner{{ID: "seats-1", Pool: "seats", Slots: 2}, {ID: "seats-2", Pool: "seats", Slots: 1}})
 		var ids []entry.RequestID
 		for range 80 {
@@ -190,7 +190,7 @@
 
 // oneRunner is a path with one runner of one slot.
 func oneRunner() *path {
-	return newPath([]service.Service{{ID: "seats", Pool: "seats", QueueLength: 2}}, []runner.Runner{{ID: "seats-1", Pool: "seats", Slots: 1}})
+	return newPath([]service.Service{{ID: "seats", Pool: "seats", Limits: service.Limits{QueueLength: 2}}}, []runner.Runner{{ID: "seats-1", Pool: "seats", Slots: 1}})
 }
 
 func (p *path) in(d time.Duration) entry.Arrived {
--- a/core/experiment/plan.go
+++ b/core/experiment/plan.go
@@ -91,7 +91,7 @@
 	for i := range n {
 		f.Entries = append(f.Entries, fleet.Entry{ID: entryID(i), PeerAddress: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))})
 	}
-	f.Services = []service.Service{{ID: "seats", Pool: "seats", QueueLength: 512 / n}}
+	f.Services = []service.Service{{ID: "seats", Pool: "seats", Limits: service.Limits{QueueLength: 512 / n}}}
 	for i := range runners {
 		f.Runners = append(f.Runners, runner.Runner{
 			ID: runner.ID(fmt.Sprintf("seats-%d", i+1)), Pool: "seats", Slots: slots,
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 
 	"bronzestair/core/runner"
 	"bronzestair/core/service"
@@ -29,14 +30,39 @@
 	ID          EntryID           `json:"id"`
 	PeerAddress netip.AddrPort    `json:"peerAddress"`
 	DataCentre  runner.DataCentre `json:"dataCentre,omitempty"`
+	// OperatorAddress is where operators ask for the entry's status.
+	OperatorAddress netip.AddrPort `json:"operatorAddress,omitzero"`
+}
+
+// Exception is where one service differs from the fleet's defaults.
+type Exception struct {
+	Service service.ID `json:"service"`
+	service.Limits
+	// Reason says why, in an operator's words.
+	Reason string `json:"reason"`
 }
 
 // Fleet is a whole configuration.
 type Fleet struct {
-	Version  Version           `json:"version"`
-	Entries  []Entry           `json:"entries"`
-	Services []service.Service `json:"services"`
-	Runners  []runner.Runner   `json:"runners"`
+	// Version is given by the platform. It is 0 in a file.
+	Version    Version           `json:"version,omitempty"`
+	Entries    []Entry           `json:"entries"`
+	Defaults   service.Limits    `json:"defaults"`
+	Exceptions []Exception       `json:"exceptions,omitempty"`
+	Services   []service.Service `json:"services"`
+	Runners    []runner.Runner   `json:"runners"`
+}
+
+// Resolve sets the limits of every service from the defaults and exceptions.
+func (f *Fleet) Resolve() {
+	exceptions := map[service.ID]service.Limits{}
+	for _, e := range f.Exceptions {
+		exceptions[e.Service] = e.Limits
+	}
+	for i := range f.Services {
+		s := &f.Services[i]
+		s.Limits = exceptions[s.ID].Over(f.Defaults)
+	}
 }
 
 // EntryIDs returns the ids of all entries.
@@ -64,6 +90,7 @@
 	var errs []error
 	errs = append(errs, f.checkEntries()...)
 	errs = append(errs, f.checkServices()...)
+	errs = append(errs, f.checkExceptions()...)
 	errs = append(errs, f.checkRunners()...)
 	return errors.Join(errs...)
 }
@@ -116,6 +143,29 @@
 	return errs
 }
 
+func (f *Fleet) checkExceptions() []error {
+	var errs []error
+	known := map[service.ID]bool{}
+	for _, s := range f.Services {
+		known[s.ID] = true
+	}
+	seen := map[service.ID]bool{}
+	for _, e := range f.Exceptions {
+		switch {
+		case !known[e.Service]:
+			errs = append(errs, fmt.Errorf("the exception for service %q is for none that exists", e.Service))
+		case seen[e.Service]:
+			errs = append(errs, fmt.Errorf("service %q has two exceptions", e.Service))
+		case strings.TrimSpace(e.Reason) == "":
+			errs = append(errs, fmt.Errorf("the exception for service %q has no reason", e.Service))
+		case e.Limits == service.Limits{}:
+			errs = append(errs, fmt.Errorf("the exception for service %q changes nothing", e.Service))
+		}
+		seen[e.Service] = true
+	}
+	return errs
+}
+
 func (f *Fleet) checkRunners() []error {
 	var errs []error
 	pools := map[service.PoolID]bool{}
--- a/core/service/service.go
+++ b/core/service/service.go
@@ -26,12 +26,8 @@
 	defaultMaxAttempts = 3
 )
 
-// Service is what the fleet's configuration says of one service.
-//
-// Every zero field but ID and Pool stands for its default.
-type Service struct {
-	ID   ID     `json:"id"`
-	Pool PoolID `json:"pool"`
+// Limits bound the requests of a service. Every zero field stands for its default.
+type Limits struct {
 	// Timeout applies to requests that name none.
 	Timeout period.Period `json:"timeout,omitempty"`
 	// MaxTimeout is the longest that a request may ask for.
@@ -42,17 +38,42 @@
 	MaxAttempts int `json:"maxAttempts,omitempty"`
 }
 
+// Over returns the limits with every zero field taken from below.
+func (l Limits) Over(below Limits) Limits {
+	if l.Timeout == 0 {
+		l.Timeout = below.Timeout
+	}
+	if l.MaxTimeout == 0 {
+		l.MaxTimeout = below.MaxTimeout
+	}
+	if l.QueueLength == 0 {
+		l.QueueLength = below.QueueLength
+	}
+	if l.MaxAttempts == 0 {
+		l.MaxAttempts = below.MaxAttempts
+	}
+	return l
+}
+
 // DefaultTimeout returns the timeout of a request that names none.
-func (s Service) DefaultTimeout() time.Duration { return s.Timeout.Or(defaultTimeout) }
+func (l Limits) DefaultTimeout() time.Duration { return l.Timeout.Or(defaultTimeout) }
 
 // LongestTimeout returns the longest timeout that a request may ask for.
-func (s Service) LongestTimeout() time.Duration { return s.MaxTimeout.Or(defaultMaxTimeout) }
+func (l Limits) LongestTimeout() time.Duration { return l.MaxTimeout.Or(defaultMaxTimeout) }
 
 // QueueLimit returns the most requests that one entry queues.
-func (s Service) QueueLimit() int { return orDefault(s.QueueLength, defaultQueueLength) }
+func (l Limits) QueueLimit() int { return orDefault(l.QueueLength, defaultQueueLength) }
 
 // AttemptLimit returns the most attempts of one request.
-func (s Service) AttemptLimit() int { return orDefault(s.MaxAttempts, defaultMaxAttempts) }
+func (l Limits) AttemptLimit() int { return orDefault(l.MaxAttempts, defaultMaxAttempts) }
+
+// Service is what the fleet's configuration says of one service. Its limits
+// come from the fleet's defaults and exceptions.
+type Service struct {
+	ID     ID     `json:"id"`
+	Pool   PoolID `json:"pool"`
+	Limits `json:"-"`
+}
 
 func orDefault(n, fallback int) int {
 	if n == 0 {
--- a/deployment_test.go
+++ b/deployment_test.go
@@ -79,18 +79,17 @@
 	t.Helper()
 	f := fleet.Fleet{
 		Entries:  []fleet.Entry{{ID: "entry-1", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}},
-		Services: []service.Service{{ID: "seats", Pool: "seats", MaxTimeout: period.Period(time.Minute)}},
+		Defaults: service.Limits{MaxTimeout: period.Period(time.Minute)},
+		Services: []service.Service{{ID: "seats", Pool: "seats"}},
 	}
 	for i, address := range runners {
 		id := runner.ID(fmt.Sprintf("seats-%d", i+1))
 		f.Runners = append(f.Runners, runner.Runner{ID: id, Pool: "seats", Address: address, Slots: 1})
 	}
-	value, err := json.Marshal(f)
-	if err != nil {
+	d := &deployment{platform: standin.NewPlatform(0), client: &http.Client{Transport: &http.Transport{}}, ended: make(chan error, 1)}
+	if err := d.platform.SetFleet(f); err != nil {
 		t.Fatal(err)
 	}
-	d := &deployment{platform: standin.NewPlatform(0), client: &http.Client{Transport: &http.Transport{}}, ended: make(chan error, 1)}
-	d.platform.SetRow(platform.ConfigurationTable, platform.FleetKey, value)
 	server, err := standin.Serve(d.platform)
 	if err != nil {
 		t.Fatal(err)
--- a/io/jsonc/jsonc.go
+++ b/io/jsonc/jsonc.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	err := jsonc.Unmarshal("fleet.jsonc", data, &f)
-//	// fleet.jsonc:12: services[1].timeout: period "5" is not a number with a unit such as 1.5s
+//	// fleet.jsonc:12: exceptions[1].timeout: period "5" is not a number with a unit such as 1.5s
 package jsonc
 
 import (
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"strconv"
 	"strings"
@@ -24,7 +25,7 @@
 type Fault struct {
 	File string
 	Line int
-	// Key is the path of the value, such as services[1].timeout. It is empty
+	// Key is the path of the value, such as exceptions[1].timeout. It is empty
 	// where the text is no JSON at all.
 	Key   string
 	Cause error
@@ -163,6 +164,9 @@
 	for i := range t.NumField() {
 		field := t.Field(i)
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if field.Anonymous && name == "" {
+			maps.Copy(fields, fieldsOf(field.Type))
+		}
 		if name == "" || name == "-" || !field.IsExported() {
 			continue
 		}
--- a/io/jsonc/jsonc_test.go
+++ b/io/jsonc/jsonc_test.go
@@ -59,7 +59,7 @@
 // FuzzUnmarshal checks that every fault has a place, and that what is accepted
 // is what the standard library reads.
 func FuzzUnmarshal(f *testing.F) {
-	f.Add([]byte(`{"version": 1, "services": [{"id": "a", "pool": "p", "timeout": "1s"},], /* x */}`))
+	f.Add([]byte(`{"version": 1, "services": [{"id": "a", "pool": "p"},], /* x */}`))
 	f.Add([]byte(`{"runners": [{"address": "127.0.0.1:1"}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var got fleet.Fleet
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -168,12 +168,11 @@
 	if err != nil {
 		return nil, err
 	}
-	var f fleet.Fleet
-	if err := json.Unmarshal(row.Value, &f); err != nil {
-		return nil, merry.Prepend(err, "reading the fleet's configuration")
+	record, err := readRecord(row)
+	if err != nil {
+		return nil, err
 	}
-	f.Version = fleet.Version(row.Version)
-	return &f, nil
+	return &record.Fleet, nil
 }
 
 // FileBatch writes a batch of book lines. Filing it again changes nothing.
--- /dev/null
+++ b/io/platform/configuration.go
@@ -0,0 +1,155 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cenkalti/backoff/v5"
+
+	"bronzestair/core/fleet"
+)
+
+// AnyVersion lets a change replace whatever configuration is in force.
+const AnyVersion fleet.Version = 0
+
+// configurationPrefix starts the names of the objects that keep old configurations.
+const configurationPrefix = "configuration/"
+
+// ConflictError says that another change came first.
+type ConflictError struct {
+	// Expected is the version that the refused change was based on.
+	Expected fleet.Version
+	// Current is the change in force.
+	Current fleet.Change
+	// Refused is the change that was not accepted.
+	Refused fleet.Change
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("not accepted: operation %q of %s is based on version %d, but version %d by %s (operation %q, %q) came first",
+		e.Refused.Operation, e.Refused.Operator, e.Expected, e.Current.Version, e.Current.Operator, e.Current.Operation, e.Current.Note)
+}
+
+// UnknownError says that it could not be learnt whether a change was accepted.
+type UnknownError struct {
+	Operation fleet.OperationID
+	cause     error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("operation %q may have been accepted; look for it in the history: %v", e.Operation, e.cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.cause }
+
+// Record reads the configuration and its latest changes.
+func (c *Client) Record(ctx context.Context) (fleet.Record, error) {
+	row, err := c.Row(ctx, ConfigurationTable, FleetKey)
+	if errors.Is(err, ErrNotFound) {
+		return fleet.Record{}, nil
+	}
+	if err != nil {
+		return fleet.Record{}, err
+	}
+	return readRecord(row)
+}
+
+func readRecord(row Row) (fleet.Record, error) {
+	var record fleet.Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return record, merry.Prepend(err, "reading the fleet's configuration")
+	}
+	record.Fleet.Version = fleet.Version(row.Version)
+	record.Fleet.Resolve()
+	return record, nil
+}
+
+// Apply makes a configuration the one in force, if base is the version in
+// force or AnyVersion. It returns the accepted change once that is durable, a
+// *ConflictError if another change came first, an *UnknownError if the answer
+// is lost and the platform could not be asked until ctx ended. After any other
+// error the change was not accepted.
+func (c *Client) Apply(ctx context.Context, f fleet.Fleet, change fleet.Change, base fleet.Version) (fleet.Change, error) {
+	f.Resolve()
+	if err := f.Check(); err != nil {
+		return change, merry.Prepend(err, "not accepted")
+	}
+	record, err := c.Record(ctx)
+	if err != nil {
+		return change, merry.Prepend(err, "not accepted: the platform cannot be read")
+	}
+	if done, ok := record.Accepted(change.Operation); ok {
+		return done, nil
+	}
+	current := record.Fleet.Version
+	if base != AnyVersion && base != current {
+		return change, &ConflictError{Expected: base, Current: record.Latest(), Refused: change}
+	}
+	change.Version = current + 1
+	value, err := json.Marshal(record.Next(f, change))
+	if err != nil {
+		return change, err
+	}
+	if err := c.PutObject(ctx, configurationName(change), value); err != nil {
+		return change, merry.Prepend(err, "not accepted: the platform keeps no copy")
+	}
+	return c.put(ctx, change, current, value)
+}
+
+// put writes the row, again if the answer is lost. The write names the version
+// that it replaces, so that it takes effect at most once.
+func (c *Client) put(ctx context.Context, change fleet.Change, current fleet.Version, value []byte) (fleet.Change, error) {
+	accepted, err := backoff.Retry(ctx, func() (fleet.Change, error) {
+		_, err := c.PutRow(ctx, ConfigurationTable, FleetKey, RowVersion(current), value)
+		if errors.Is(err, ErrConflict) {
+			return c.settle(ctx, change, current)
+		}
+		return change, err
+	}, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxElapsedTime(0))
+	var conflict *ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		return change, &UnknownError{Operation: change.Operation, cause: err}
+	}
+	return accepted, err
+}
+
+// settle tells after a conflict whether the operation itself came first.
+func (c *Client) settle(ctx context.Context, change fleet.Change, current fleet.Version) (fleet.Change, error) {
+	record, err := c.Record(ctx)
+	if err != nil {
+		return change, err
+	}
+	if done, ok := record.Accepted(change.Operation); ok {
+		return done, nil
+	}
+	return change, backoff.Permanent(&ConflictError{Expected: current, Current: record.Latest(), Refused: change})
+}
+
+// RecordAt reads the configuration of a version that the latest changes include.
+func (c *Client) RecordAt(ctx context.Context, version fleet.Version) (fleet.Record, error) {
+	latest, err := c.Record(ctx)
+	if err != nil || latest.Fleet.Version == version {
+		return latest, err
+	}
+	for _, change := range latest.Changes {
+		if change.Version != version {
+			continue
+		}
+		value, err := c.Object(ctx, configurationName(change))
+		if err != nil {
+			return fleet.Record{}, merry.Prependf(err, "version %d", version)
+		}
+		return readRecord(Row{Version: RowVersion(version), Value: value})
+	}
+	return fleet.Record{}, merry.Errorf("version %d is not among the latest %d changes", version, len(latest.Changes))
+}
+
+func configurationName(c fleet.Change) string {
+	return fmt.Sprintf("%s%012d-%s", configurationPrefix, c.Version, c.Operation)
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -20,6 +20,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"bronzestair/core/fleet"
 	"bronzestair/io/platform"
 )
 
@@ -91,6 +92,16 @@
 	p.rows[name] = platform.Row{Version: p.rows[name].Version + 1, Value: value}
 }
 
+// SetFleet writes a configuration as if an operator had applied it.
+func (p *Platform) SetFleet(f fleet.Fleet) error {
+	value, err := json.Marshal(fleet.Record{Fleet: f})
+	if err != nil {
+		return err
+	}
+	p.SetRow(platform.ConfigurationTable, platform.FleetKey, value)
+	return nil
+}
+
 // SetInstances changes the instance list. Callers see it after the lag.
 func (p *Platform) SetInstances(list []platform.Instance) {
 	p.mu.Lock()
