Add 'bronzestair config': apply, diff, history, show and wait

Cause: operators could change the configuration only at the platform. Conclusion: the configuration part works with the platform well, down, and losing answers; slow and restarting are not measured.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -42,7 +42,7 @@
 
 const (
 	// pollEvery is how often the platform is asked for changes.
-	pollEvery = 1 * time.Second
+	pollEvery = 400 * time.Millisecond
 	// tickEvery is how often time passes in the reducer without an event.
 	tickEvery = 50 * time.Millisecond
 	// finalFilingTimeout bounds the last filing of book lines.
--- a/cmd/bronzestair/main.go
+++ b/cmd/bronzestair/main.go
@@ -45,6 +45,7 @@
 			demoCommand(),
 			statusCommand(),
 			booksCommand(),
+			configCommand(),
 			settingsCommand(),
 			loadCommand(),
 			experimentCommand(),
--- /dev/null
+++ b/io/platform/books_test.go
@@ -0,0 +1,63 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/book"
+	"bronzestair/io/platform"
+	"bronzestair/standin"
+)
+
+// TestBooksAreFiledOnce files lines in several batches while each fault hits
+// each call: every line is in the platform once, and none waits.
+func TestBooksAreFiledOnce(t *testing.T) {
+	for name, fault := range map[string]standin.Fault{"none": {}, "down": {Down: true}, "answer lost": {LoseAnswers: true}} {
+		for skip := range 3 {
+			t.Run(fmt.Sprintf("%s at call %d", name, skip+1), func(t *testing.T) {
+				t.Parallel()
+				checkBooks(t, fault, skip)
+			})
+		}
+	}
+}
+
+func checkBooks(t *testing.T, fault standin.Fault, skip int) {
+	t.Helper()
+	stand, client := start(t)
+	books := platform.NewBooks(client, "entry-1", "incarnation-1", slog.New(slog.DiscardHandler))
+	stand.SetFaultAt(fault, skip, 1)
+	want := map[book.Key]int{}
+	for i := range 3 {
+		key := book.Key(fmt.Sprint(i))
+		want[key] = 1
+		books.Add(book.Line{Key: key})
+		short, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		_ = books.File(short) // May end before it is done; the next call goes on.
+		cancel()
+		if err := books.File(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	batches, err := client.Batches(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[book.Key]int{}
+	for _, b := range batches {
+		for _, line := range b.Lines {
+			got[line.Key]++
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines in the platform (-want +got):\n%s", diff)
+	}
+	if n := books.Unfiled(); n != 0 {
+		t.Errorf("%d lines wait to be filed", n)
+	}
+}
--- a/io/platform/configuration.go
+++ b/io/platform/configuration.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cenkalti/backoff/v5"
@@ -18,6 +19,12 @@
 // configurationPrefix starts the names of the objects that keep old configurations.
 const configurationPrefix = "configuration/"
 
+// firstRetryWait and longestRetryWait bound the wait between two tries of a write.
+const (
+	firstRetryWait   = 50 * time.Millisecond
+	longestRetryWait = 2 * time.Second
+)
+
 // ConflictError says that another change came first.
 type ConflictError struct {
 	// Expected is the version that the refused change was based on.
@@ -105,13 +112,16 @@
 // put writes the row, again if the answer is lost. The write names the version
 // that it replaces, so that it takes effect at most once.
 func (c *Client) put(ctx context.Context, change fleet.Change, current fleet.Version, value []byte) (fleet.Change, error) {
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval = firstRetryWait
+	policy.MaxInterval = longestRetryWait
 	accepted, err := backoff.Retry(ctx, func() (fleet.Change, error) {
 		_, err := c.PutRow(ctx, ConfigurationTable, FleetKey, RowVersion(current), value)
 		if errors.Is(err, ErrConflict) {
 			return c.settle(ctx, change, current)
 		}
 		return change, err
-	}, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxElapsedTime(0))
+	}, backoff.WithBackOff(policy), backoff.WithMaxElapsedTime(0))
 	var conflict *ConflictError
 	if err != nil && !errors.As(err, &conflict) {
 		return change, &UnknownError{Operation: change.Operation, cause: err}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"sort"
 	"strconv"
@@ -40,8 +41,12 @@
 	echo *echo.Echo
 	lag  time.Duration
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// fault goes wrong with the calls from faultFrom to before faultTo.
 	fault     Fault
+	faultFrom int
+	faultTo   int
+	calls     int
 	rows      map[string]platform.Row
 	objects   map[string][]byte
 	instances []listing
@@ -78,10 +83,28 @@
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.echo.ServeHTTP(w, r) }
 
 // SetFault sets what goes wrong from now on.
-func (p *Platform) SetFault(f Fault) {
+func (p *Platform) SetFault(f Fault) { p.SetFaultAt(f, 0, math.MaxInt) }
+
+// SetFaultAt sets what goes wrong with some of the calls that come: the first
+// skip calls go well, then times calls go wrong.
+func (p *Platform) SetFaultAt(f Fault, skip, times int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
+	p.faultFrom = p.calls + skip
+	p.faultTo = p.faultFrom + min(times, math.MaxInt-p.faultFrom)
+}
+
+// nextFault counts a call and returns what goes wrong with it.
+func (p *Platform) nextFault() Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	call := p.calls
+	p.calls++
+	if call < p.faultFrom || call >= p.faultTo {
+		return Fault{}
+	}
+	return p.fault
 }
 
 // SetRow writes a row whatever its version is.
@@ -118,9 +141,7 @@
 
 func (p *Platform) faulty(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		p.mu.Lock()
-		fault := p.fault
-		p.mu.Unlock()
+		fault := p.nextFault()
 		time.Sleep(fault.Delay)
 		if fault.Down {
 			return c.NoContent(http.StatusServiceUnavailable)
