Find exchanges without a lock; file instants as numbers

Change: exchanges keep their index and are used again; an answer's last event is reduced with the next one; hop headers in one pass; instants in books.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -205,6 +205,8 @@
 	e.logger.Info("stopping", "drainDelay", e.settings.DrainDelay)
 	time.Sleep(e.settings.DrainDelay)
 	err := e.server.Shutdown(ctx)
+	// The last answers' events may wait for another one.
+	e.loop.Submit(&entry.Ticked{})
 	return errors.Join(err, e.operators.Shutdown(ctx))
 }
 
--- a/cmd/bronzestair/books.go
+++ b/cmd/bronzestair/books.go
@@ -88,7 +88,7 @@
 	rows := map[rowKey]*bookRow{}
 	for _, batch := range batches {
 		for _, line := range batch.Lines {
-			at := line.At.UTC()
+			at := line.At.Time()
 			if line.Caller != caller || at.Format(monthLayout) != month {
 				continue
 			}
--- a/core/book/line.go
+++ b/core/book/line.go
@@ -19,13 +19,22 @@
 // Key is the idempotency key that a caller gave to a request.
 type Key string
 
+// Instant is a moment in milliseconds since 1970, which is cheap to file.
+type Instant int64
+
+// At returns the instant of a time.
+func At(t time.Time) Instant { return Instant(t.UnixMilli()) }
+
+// Time returns the instant as a time in UTC.
+func (i Instant) Time() time.Time { return time.UnixMilli(int64(i)).UTC() }
+
 // Line is the one line in which a request ends.
 type Line struct {
 	Caller  Caller          `json:"caller"`
 	Service service.ID      `json:"service"`
 	Key     Key             `json:"key,omitempty"`
 	Verdict verdict.Verdict `json:"verdict"`
-	At      time.Time       `json:"at"`
+	At      Instant         `json:"at"`
 }
 
 // Batch is a sequence of lines that an entry files at once. Entry, Incarnation
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -127,7 +127,7 @@
 
 func (s *Server) reportDelivered(ex *exchange, whole bool) verdict.Verdict {
 	ex.done = entry.Delivered{Request: ex.id, Whole: whole}
-	s.loop.Submit(&ex.done)
+	s.loop.SubmitLater(&ex.done)
 	if whole {
 		return verdict.Answered
 	}
@@ -174,7 +174,7 @@
 		h[name] = values
 	}
 	h[HeaderVerdict] = []string{verdict.Answered.String()}
-	if answer.Whole && bodyAllowed(answer) {
+	if answer.Whole && h["Content-Length"] == nil && bodyAllowed(answer) {
 		h["Content-Length"] = []string{strconv.Itoa(len(answer.Held))}
 	}
 	w.WriteHeader(answer.Status)
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -16,12 +16,18 @@
 // sends at most two before it hears from the exchange again.
 const effectBacklog = 4
 
+// minExchanges is how many exchanges there are at first.
+const minExchanges = 64
+
 // exchange is one request of a caller, from its head to the end of the answer.
 type exchange struct {
-	call    call
-	id      entry.RequestID
-	effects chan entry.Effect
-	timer   *time.Timer
+	call  call
+	id    entry.RequestID
+	index uint32
+	// generation counts the uses of the exchange.
+	generation uint32
+	effects    chan entry.Effect
+	timer      *time.Timer
 	// users counts the server and, while it knows the request, the reducer.
 	users atomic.Int32
 
@@ -41,57 +47,63 @@
 	left bool
 }
 
-// exchanges finds the exchange that an effect is for.
+// exchanges finds the exchange that an effect is for. An exchange keeps its
+// index and is used again for another request.
 type exchanges struct {
-	mu    sync.Mutex
-	slots []exchangeSlot
-	free  []uint32
-}
+	all atomic.Pointer[[]*exchange]
 
-type exchangeSlot struct {
-	exchange   *exchange
-	generation uint32
+	mu   sync.Mutex
+	free []*exchange
 }
 
-var exchangePool = sync.Pool{New: func() any {
-	return &exchange{effects: make(chan entry.Effect, effectBacklog)}
-}}
-
-// open returns a new exchange with an id of its own.
+// open returns an exchange with a new id.
 func (t *exchanges) open() *exchange {
-	ex := exchangePool.Get().(*exchange)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var index uint32
-	if n := len(t.free); n > 0 {
-		index = t.free[n-1]
-		t.free = t.free[:n-1]
-	} else {
-		index = uint32(len(t.slots))
-		t.slots = append(t.slots, exchangeSlot{})
+	n := len(t.free)
+	if n == 0 {
+		t.grow()
+		n = len(t.free)
 	}
-	s := &t.slots[index]
-	s.generation++
-	s.exchange = ex
+	ex := t.free[n-1]
+	t.free = t.free[:n-1]
+	ex.generation++
+	ex.id = entry.NewRequestID(ex.index, ex.generation)
 	ex.users.Store(1)
-	ex.id = entry.NewRequestID(index, s.generation)
 	return ex
 }
 
-// release ends one use of an exchange. With the last one it is forgotten.
+// grow doubles the number of exchanges.
+func (t *exchanges) grow() {
+	var all []*exchange
+	if old := t.all.Load(); old != nil {
+		all = *old
+	}
+	count := max(len(all), minExchanges)
+	all = append(make([]*exchange, 0, len(all)+count), all...)
+	for range count {
+		ex := &exchange{index: uint32(len(all)), effects: make(chan entry.Effect, effectBacklog)}
+		all = append(all, ex)
+		t.free = append(t.free, ex)
+	}
+	t.all.Store(&all)
+}
+
+// release ends one use of an exchange. After the last one it is free.
 func (t *exchanges) release(ex *exchange) {
 	if ex.users.Add(-1) > 0 {
 		return
 	}
+	ex.reset()
 	t.mu.Lock()
-	index := ex.id.Index()
-	t.slots[index].exchange = nil
-	t.free = append(t.free, index)
+	t.free = append(t.free, ex)
 	t.mu.Unlock()
-	ex.reset()
-	exchangePool.Put(ex)
 }
 
+// find returns the exchange of a request that the reducer knows: until its
+// Record effect the exchange is not used again.
+func (t *exchanges) find(id entry.RequestID) *exchange { return (*t.all.Load())[id.Index()] }
+
 // line returns the book line in which the exchange ends.
 func (ex *exchange) line(v verdict.Verdict) book.Line {
 	return book.Line{
@@ -99,7 +111,7 @@
 		Service: ex.call.service,
 		Key:     ex.call.key,
 		Verdict: v,
-		At:      time.Now(),
+		At:      book.At(time.Now()),
 	}
 }
 
@@ -125,18 +137,3 @@
 	ex.conn = nil
 	ex.left = false
 }
-
-// find returns the exchange of a request, nil if it is gone.
-func (t *exchanges) find(id entry.RequestID) *exchange {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	index := int(id.Index())
-	if index >= len(t.slots) {
-		return nil
-	}
-	ex := t.slots[index].exchange
-	if ex == nil || ex.id != id {
-		return nil
-	}
-	return ex
-}
--- a/io/caller/header.go
+++ b/io/caller/header.go
@@ -174,12 +174,6 @@
 	return true
 }
 
-// hopHeaders end at each hop (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // dropHopHeaders takes out the headers that end at this hop.
 func dropHopHeaders(h http.Header) {
 	for _, value := range h["Connection"] {
@@ -187,7 +181,20 @@
 			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	for _, name := range hopHeaders {
-		delete(h, name)
+	for name := range h {
+		if endsAtHop(name) {
+			delete(h, name)
+		}
+	}
+}
+
+// endsAtHop reports whether a header in canonical form ends at each hop (RFC
+// 9110, section 7.6.1).
+func endsAtHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
 	}
+	return false
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -36,6 +36,8 @@
 type Loop interface {
 	// Submit reduces an event and sees to its effects.
 	Submit(entry.Event)
+	// SubmitLater does the same together with the next event that comes by Submit.
+	SubmitLater(entry.Event)
 }
 
 // Sender sends attempts to backend servers.
@@ -211,9 +213,6 @@
 // Handle carries out the effects for one exchange. The loop calls it.
 func (s *Server) Handle(effect entry.Effect) {
 	ex := s.exchanges.find(effect.Request)
-	if ex == nil {
-		return
-	}
 	if effect.Kind == entry.Record {
 		s.books.Add(ex.line(effect.Verdict))
 		s.exchanges.release(ex)
--- a/loop.go
+++ b/loop.go
@@ -72,6 +72,14 @@
 // that, so the event must not be changed until an effect shows that it was reduced.
 func (l *Loop) Submit(event entry.Event) { l.do(work{event: event}) }
 
+// SubmitLater has an event reduced together with the next one that comes by
+// Submit. It is for events on which nothing waits.
+func (l *Loop) SubmitLater(event entry.Event) {
+	l.mu.Lock()
+	l.queue = append(l.queue, work{event: event})
+	l.mu.Unlock()
+}
+
 // Status returns what operators may see of the state.
 func (l *Loop) Status() entry.Status {
 	seen := make(chan entry.Status, 1)
