--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,39 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/fleet"
+)
+
+// TestCheck reads testdata/faults.txt: a configuration and what is said of it,
+// by paragraph.
+func TestCheck(t *testing.T) {
+	data, err := os.ReadFile("testdata/faults.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, paragraph := range strings.Split(strings.TrimSpace(string(data)), "\n\n") {
+		text, want, found := strings.Cut(paragraph, "\n=> ")
+		if !found {
+			t.Fatalf("paragraph %q has no message", paragraph)
+		}
+		var f fleet.Fleet
+		if err := json.Unmarshal([]byte(text), &f); err != nil {
+			t.Fatalf("paragraph %q: %v", paragraph, err)
+		}
+		f.Resolve()
+		got := "good"
+		if err := f.Check(); err != nil {
+			got = err.Error()
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("configuration %s (-want +got):\n%s", text, diff)
+		}
+	}
+}
--- a/deployment_test.go
+++ b/deployment_test.go
@@ -30,6 +30,7 @@
 	reader   *platform.Client
 	entry    *bronzestair.Entry
 	callers  netip.AddrPort
+	peers    net.Listener
 	client   *http.Client
 	cancel   context.CancelFunc
 	ended    chan error
@@ -86,10 +87,26 @@
 		id := runner.ID(fmt.Sprintf("seats-%d", i+1))
 		f.Runners = append(f.Runners, runner.Runner{ID: id, Pool: "seats", Address: address, Slots: 1})
 	}
-	d := &deployment{platform: standin.NewPlatform(0), client: &http.Client{Transport: &http.Transport{}}, ended: make(chan error, 1)}
+	d := newDeployment(standin.NewPlatform(0))
 	if err := d.platform.SetFleet(f); err != nil {
 		t.Fatal(err)
 	}
+	d.serve(t, change)
+	return d
+}
+
+// newDeployment returns one that is not served yet.
+func newDeployment(stand *standin.Platform) *deployment {
+	return &deployment{
+		platform: stand,
+		client:   &http.Client{Transport: &http.Transport{}},
+		ended:    make(chan error, 1),
+	}
+}
+
+// serve serves the platform and the entry, and waits until the entry is ready.
+func (d *deployment) serve(t *testing.T, change func(*settings.Settings)) {
+	t.Helper()
 	server, err := standin.Serve(d.platform)
 	if err != nil {
 		t.Fatal(err)
@@ -97,42 +114,40 @@
 	t.Cleanup(server.Close)
 	t.Cleanup(d.client.CloseIdleConnections)
 	d.reader = platform.NewClient(server.Address)
-	d.run(t, server.Address, change)
-	return d
-}
-
-// run starts the entry and waits until it is ready.
-func (d *deployment) run(t *testing.T, platformAddress netip.AddrPort, change func(*settings.Settings)) {
-	t.Helper()
-	var listeners [3]net.Listener
-	for i := range listeners {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners[i] = l
-	}
 	s := settings.Default()
-	s.PlatformAddress = platformAddress
+	s.PlatformAddress = server.Address
 	s.DrainDelay = 0
 	s.MaxHeaderBytes = 2048
 	s.MaxBodyBytes = 4_000_000
 	change(&s)
-	logger := slog.New(slog.NewJSONHandler(&d.log, nil))
-	e, err := bronzestair.New(bronzestair.WithSettings(s), bronzestair.WithLogger(logger),
-		bronzestair.WithCallerListener(listeners[0]),
-		bronzestair.WithOperatorListener(listeners[1]),
-		bronzestair.WithPeerListener(listeners[2]))
+	callers, operators := loopback(t), loopback(t)
+	if d.peers == nil {
+		d.peers = loopback(t)
+	}
+	d.entry, err = bronzestair.New(bronzestair.WithSettings(s),
+		bronzestair.WithLogger(slog.New(slog.NewJSONHandler(&d.log, nil))),
+		bronzestair.WithCallerListener(callers),
+		bronzestair.WithOperatorListener(operators),
+		bronzestair.WithPeerListener(d.peers))
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.entry = e
-	d.callers = listeners[0].Addr().(*net.TCPAddr).AddrPort()
+	d.callers = callers.Addr().(*net.TCPAddr).AddrPort()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	go func() { d.ended <- e.Run(ctx) }()
+	go func() { d.ended <- d.entry.Run(ctx) }()
 	t.Cleanup(cancel)
-	d.await(t, e.Ready)
+	d.await(t, d.entry.Ready)
+}
+
+// loopback opens a free port.
+func loopback(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
 }
 
 // await waits until something holds.
