Return borrowed slots before an entry ends

Cause: an entry that ended cancelled its last calls to peers, so that lent slots could stay away for the whole hold time. Change: the end waits for calls under way, each of which is bounded; the reducer hears of the end, and of one more tick after the last answer. Conclusion: planned stops give slots back.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -204,8 +204,10 @@
 	e.stopping.Store(true)
 	e.logger.Info("stopping", "drainDelay", e.settings.DrainDelay)
 	time.Sleep(e.settings.DrainDelay)
+	e.loop.Submit(&entry.Stopping{})
 	err := e.server.Shutdown(ctx)
-	// The last answers' events may wait for another one.
+	// The last answers' events may wait for another one, which also returns the
+	// slots that are borrowed.
 	e.loop.Submit(&entry.Ticked{})
 	return errors.Join(err, e.operators.Shutdown(ctx))
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -85,13 +85,14 @@
 // Serve answers peers until Close.
 func (p *Peers) Serve(l net.Listener) error { return p.server.Serve(l) }
 
-// Close ends all calls.
+// Close makes no more calls, waits for those under way, each of which is
+// bounded, and stops answering.
 func (p *Peers) Close() {
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	p.cancel()
 	p.calls.Wait()
+	p.cancel()
 	p.server.Stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lending_test.go
+++ b/lending_test.go
@@ -100,3 +100,37 @@
 	}
 	busy.checkVerdicts(t, want)
 }
+
+// TestStoppedEntryReturnsSlots ends an entry that has borrowed slots: its peers
+// have them back without waiting for the end of their hold time.
+func TestStoppedEntryReturnsSlots(t *testing.T) {
+	const slots = 6
+	h := &held{arrived: make(chan *heldRequest, slots)}
+	server, err := standin.Serve(h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	entries := startEntries(t, server.Address, slots)
+	busy := entries[0]
+	var callers []net.Conn
+	for i := range slots {
+		callers = append(callers, busy.open(t, fmt.Sprintf("request-%d", i)))
+	}
+	var running []*heldRequest
+	for range slots {
+		running = append(running, <-h.arrived)
+	}
+	for _, r := range running {
+		close(r.answer)
+	}
+	for _, c := range callers {
+		readAnswer(t, c)
+	}
+	busy.stop(t)
+	for _, d := range entries[1:] {
+		if lent := d.entry.Status().Services[0].Lent; lent != 0 {
+			t.Errorf("%s has %d slots lent after the borrower ended", d.entry.Status().Entry, lent)
+		}
+	}
+}
