Say when books are not final, and reconcile them with a partner's list

Cause: a partner could not compare single requests, and figures did not say whether they could still change.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -165,6 +165,7 @@
 func (e *Entry) Status() entry.Status {
 	status := e.loop.Status()
 	status.Stopping = e.stopping.Load()
+	status.UnfiledLines = e.books.Unfiled()
 	return status
 }
 
--- a/cmd/bronzestair/books.go
+++ b/cmd/bronzestair/books.go
@@ -1,111 +1,221 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
-	"sort"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"bronzestair/core/book"
-	"bronzestair/core/service"
+	"bronzestair/core/fleet"
+	"bronzestair/core/verdict"
 	"bronzestair/io/command"
 	"bronzestair/io/platform"
 )
 
 const monthLayout = "2006-01"
 
-// bookRow is a caller's count for one service and day.
-type bookRow struct {
-	Day     string     `json:"day"`
-	Service service.ID `json:"service"`
-	book.Totals
+// bookFlags are the flags that name an account.
+type bookFlags struct {
+	address *netip.AddrPort
+	caller  *string
+	month   *string
+	asJSON  *bool
 }
 
-// bookReport is a caller's count for a month.
-type bookReport struct {
-	Caller book.Caller `json:"caller"`
-	Month  string      `json:"month"`
-	Rows   []bookRow   `json:"rows"`
-	Total  book.Totals `json:"total"`
+func bindBookFlags(flags *flag.FlagSet) bookFlags {
+	return bookFlags{
+		address: command.Address(flags, "platform-address", defaultPlatformAddress, "address of the platform"),
+		caller:  flags.String("caller", "", "caller whose requests are counted"),
+		month:   flags.String("month", "", "month in UTC, as 2026-12"),
+		asJSON:  flags.Bool("json", false, "print JSON"),
+	}
+}
+
+func (f bookFlags) check() error {
+	if *f.caller == "" {
+		return merry.New("flag -caller is missing")
+	}
+	if _, err := time.Parse(monthLayout, *f.month); err != nil {
+		return merry.Errorf("flag -month is %q, not a month such as 2026-12", *f.month)
+	}
+	return nil
+}
+
+// lines reads the account's lines from the platform.
+func (f bookFlags) lines(ctx context.Context, client *platform.Client) ([]book.Line, error) {
+	batches, err := client.Batches(ctx)
+	if err != nil {
+		return nil, merry.Prepend(err, "reading the books")
+	}
+	return book.Select(batches, book.Caller(*f.caller), book.Month(*f.month)), nil
 }
 
 func booksCommand() *ffcli.Command {
 	flags, options := newFlags("books")
-	address := command.Address(flags, "platform-address", "127.0.0.1:8090", "address of the platform")
-	caller := flags.String("caller", "", "caller whose requests are counted")
-	month := flags.String("month", "", "month in UTC, as 2026-12")
-	asJSON := flags.Bool("json", false, "print one JSON object")
+	f := bindBookFlags(flags)
 	return &ffcli.Command{
-		Name:       "books",
-		ShortUsage: "bronzestair books -caller C -month YYYY-MM [-platform-address A] [-json]",
-		ShortHelp:  "Counts a caller's requests of a month, by day, service and verdict.",
-		FlagSet:    flags,
-		Options:    options,
+		Name:        "books",
+		ShortUsage:  "bronzestair books -caller C -month YYYY-MM [-platform-address A] [-json]",
+		ShortHelp:   "Counts a caller's requests of a month, by day, service and verdict.",
+		FlagSet:     flags,
+		Options:     options,
+		Subcommands: []*ffcli.Command{reconcileCommand()},
 		Exec: func(ctx context.Context, _ []string) error {
-			if *caller == "" {
-				return merry.New("flag -caller is missing")
-			}
-			if _, err := time.Parse(monthLayout, *month); err != nil {
-				return merry.Errorf("flag -month is %q, not a month such as 2026-12", *month)
+			if err := f.check(); err != nil {
+				return err
 			}
-			return showBooks(ctx, *address, book.Caller(*caller), *month, *asJSON)
+			return showBooks(ctx, f)
 		},
 	}
 }
 
-func showBooks(ctx context.Context, address netip.AddrPort, caller book.Caller, month string, asJSON bool) error {
-	client := platform.NewClient(address)
+func showBooks(ctx context.Context, f bookFlags) error {
+	client := platform.NewClient(*f.address)
 	defer client.Close()
-	batches, err := client.Batches(ctx)
+	// What waits at entries is asked first: what they file meanwhile is read.
+	open := unfiledLines(ctx, client, *f.month, time.Now())
+	lines, err := f.lines(ctx, client)
 	if err != nil {
-		return merry.Prepend(err, "reading the books")
-	}
-	report := countBooks(batches, caller, month)
-	if asJSON {
-		return json.NewEncoder(os.Stdout).Encode(report)
+		return err
 	}
-	fmt.Printf("%-10s %-12s %10s %10s %10s\n", "DAY", "SERVICE", "ANSWERED", "NOT RUN", "MAY HAVE RUN")
-	for _, row := range report.Rows {
-		fmt.Printf("%-10s %-12s %10d %10d %10d\n", row.Day, row.Service, row.Answered, row.NotRun, row.MayHaveRun)
+	account := book.NewAccount(lines, book.Caller(*f.caller), book.Month(*f.month))
+	account.NotFinalBecause = open
+	account.Final = len(open) == 0
+	if *f.asJSON {
+		return json.NewEncoder(os.Stdout).Encode(account)
 	}
-	fmt.Printf("%-23s %10d %10d %10d\n", "total", report.Total.Answered, report.Total.NotRun, report.Total.MayHaveRun)
+	printAccount(account)
 	return nil
 }
 
-// countBooks counts the lines of one caller and month.
-func countBooks(batches []book.Batch, caller book.Caller, month string) bookReport {
-	type rowKey struct {
-		day     string
-		service service.ID
-	}
-	report := bookReport{Caller: caller, Month: month, Rows: []bookRow{}}
-	rows := map[rowKey]*bookRow{}
-	for _, batch := range batches {
-		for _, line := range batch.Lines {
-			at := line.At.Time()
-			if line.Caller != caller || at.Format(monthLayout) != month {
-				continue
+// unfiledLines says what could still change the figures of a month.
+func unfiledLines(ctx context.Context, client *platform.Client, month string, now time.Time) []string {
+	if now.UTC().Format(monthLayout) <= month {
+		return []string{"the month is not over"}
+	}
+	record, err := client.Record(ctx)
+	if err != nil {
+		return []string{"the entries are not known: " + err.Error()}
+	}
+	var reasons []string
+	for _, e := range record.Fleet.Entries {
+		if reason := unfiledAt(ctx, e); reason != "" {
+			reasons = append(reasons, reason)
+		}
+	}
+	return reasons
+}
+
+// unfiledAt says what an entry could still file, empty if nothing.
+func unfiledAt(ctx context.Context, e fleet.Entry) string {
+	if !e.OperatorAddress.IsValid() {
+		return fmt.Sprintf("entry %q has no operatorAddress to be asked at", e.ID)
+	}
+	status, err := readStatus(ctx, e.OperatorAddress.String())
+	if err != nil {
+		return fmt.Sprintf("entry %q does not answer", e.ID)
+	}
+	if status.UnfiledLines > 0 {
+		return fmt.Sprintf("entry %q has %d lines to file", e.ID, status.UnfiledLines)
+	}
+	return ""
+}
+
+func printAccount(a book.Account) {
+	fmt.Printf("%-10s %-12s %10s %10s %12s\n", "DAY", "SERVICE", "ANSWERED", "NOT RUN", "MAY HAVE RUN")
+	for _, row := range a.Rows {
+		fmt.Printf("%-10s %-12s %10d %10d %12d\n", row.Day, row.Service, row.Answered, row.NotRun, row.MayHaveRun)
+	}
+	fmt.Printf("%-23s %10d %10d %12d\n", "total", a.Total.Answered, a.Total.NotRun, a.Total.MayHaveRun)
+	for _, reason := range a.NotFinalBecause {
+		fmt.Println("not final:", reason)
+	}
+}
+
+func reconcileCommand() *ffcli.Command {
+	flags, options := newFlags("books reconcile")
+	f := bindBookFlags(flags)
+	return &ffcli.Command{
+		Name:       "reconcile",
+		ShortUsage: "bronzestair books reconcile -caller C -month YYYY-MM [-json] FILE",
+		ShortHelp:  "Compares a partner's list, a line KEY VERDICT for each request, with the books.",
+		FlagSet:    flags,
+		Options:    options,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := f.check(); err != nil {
+				return err
 			}
-			key := rowKey{day: at.Format(time.DateOnly), service: line.Service}
-			if rows[key] == nil {
-				rows[key] = &bookRow{Day: key.day, Service: key.service}
+			name, err := oneFile(args)
+			if err != nil {
+				return err
 			}
-			rows[key].Add(line)
-			report.Total.Add(line)
+			return reconcile(ctx, f, name)
+		},
+	}
+}
+
+// reconcile prints the differences, and returns an error if there are any.
+func reconcile(ctx context.Context, f bookFlags, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	claims, err := readClaims(name, file)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(*f.address)
+	defer client.Close()
+	lines, err := f.lines(ctx, client)
+	if err != nil {
+		return err
+	}
+	differences := book.Reconcile(claims, lines)
+	if *f.asJSON {
+		if err := json.NewEncoder(os.Stdout).Encode(differences); err != nil {
+			return err
+		}
+	} else {
+		for _, d := range differences {
+			fmt.Printf("%s: theirs %v, ours %v\n", d.Key, d.Theirs, d.Ours)
 		}
 	}
-	for _, row := range rows {
-		report.Rows = append(report.Rows, *row)
+	if len(differences) > 0 {
+		return merry.Errorf("%d keys differ, of %d requests in the list and %d in the books", len(differences), len(claims), len(lines))
+	}
+	fmt.Fprintf(os.Stderr, "%d requests agree\n", len(lines))
+	return nil
+}
+
+// readClaims reads a partner's list. Empty lines and lines from # on are skipped.
+func readClaims(name string, r io.Reader) ([]book.Claim, error) {
+	var claims []book.Claim
+	scanner := bufio.NewScanner(r)
+	for number := 1; scanner.Scan(); number++ {
+		text := strings.TrimSpace(scanner.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		fields := strings.Fields(text)
+		if len(fields) != 2 {
+			return nil, merry.Errorf("%s:%d: line %q is not a key and a verdict", name, number, text)
+		}
+		var v verdict.Verdict
+		if err := v.UnmarshalText([]byte(fields[1])); err != nil {
+			return nil, merry.Errorf("%s:%d: %v", name, number, err)
+		}
+		claims = append(claims, book.Claim{Key: book.Key(fields[0]), Verdict: v})
 	}
-	sort.Slice(report.Rows, func(i, j int) bool {
-		a, b := report.Rows[i], report.Rows[j]
-		return a.Day < b.Day || (a.Day == b.Day && a.Service < b.Service)
-	})
-	return report
+	return claims, scanner.Err()
 }
--- a/core/entry/status.go
+++ b/core/entry/status.go
@@ -8,11 +8,13 @@
 
 // Status is what an entry reports to operators.
 type Status struct {
-	Entry    fleet.EntryID   `json:"entry"`
-	Version  fleet.Version   `json:"version"`
-	Active   int             `json:"active"`
-	Stopping bool            `json:"stopping"`
-	Services []ServiceStatus `json:"services"`
+	Entry    fleet.EntryID `json:"entry"`
+	Version  fleet.Version `json:"version"`
+	Active   int           `json:"active"`
+	Stopping bool          `json:"stopping"`
+	// UnfiledLines are book lines that the platform does not have yet.
+	UnfiledLines int             `json:"unfiledLines"`
+	Services     []ServiceStatus `json:"services"`
 }
 
 // ServiceStatus is what an entry reports of a service.
