Close connections to runners that are gone

Found by reading. Change: a new configuration closes the others' connections, those in use when they end; stale idle ones are closed every 5 s. Figures: TestConnectionsToGoneRunnersAreClosed sees both connections closed; before, nothing closed them (there was no call to do so). Conclusion: connections follow the configuration.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -45,6 +45,8 @@
 	pollEvery = 400 * time.Millisecond
 	// tickEvery is how often time passes in the reducer without an event.
 	tickEvery = 50 * time.Millisecond
+	// staleEvery is how often idle connections to runners are looked at.
+	staleEvery = 5 * time.Second
 	// finalFilingTimeout bounds the last filing of book lines.
 	finalFilingTimeout = 10 * time.Second
 )
@@ -188,6 +190,7 @@
 	group.Go(func() error { e.pollPlatform(background); return nil })
 	group.Go(func() error { e.tick(background); return nil })
 	group.Go(func() error { e.books.Run(background); return nil })
+	group.Go(func() error { every(background, staleEvery, e.backend.CloseStale); return nil })
 	e.logger.Info("serving",
 		"callers", listeners.callers.Addr().String(),
 		"operators", listeners.operators.Addr().String(),
@@ -297,6 +300,7 @@
 	}
 	e.directory.set(f)
 	e.loop.Submit(&entry.Configured{Fleet: f})
+	e.backend.Retain(f.RunnerAddresses())
 	// Runners that are new to the reducer have to hear of the list, too.
 	e.listTag = ""
 	e.logger.Info("configuration in force", "version", f.Version)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -74,6 +74,15 @@
 	return ids
 }
 
+// RunnerAddresses returns the addresses of all runners.
+func (f *Fleet) RunnerAddresses() map[netip.AddrPort]bool {
+	addresses := make(map[netip.AddrPort]bool, len(f.Runners))
+	for _, r := range f.Runners {
+		addresses[r.Address] = true
+	}
+	return addresses
+}
+
 // RunnersOf returns the runners that a service draws on.
 func (f *Fleet) RunnersOf(s service.Service) []runner.Runner {
 	var out []runner.Runner
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -148,12 +148,29 @@
 	return c
 }
 
-// Close closes the idle connections.
-func (c *Client) Close() {
+// Close closes the idle connections. Those in use are closed when they end.
+func (c *Client) Close() { c.Retain(nil) }
+
+// Retain closes the connections to all other addresses. Requests in flight
+// there go on to their end.
+func (c *Client) Retain(addresses map[netip.AddrPort]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if !addresses[address] {
+			p.closeAll()
+			delete(c.pools, address)
+		}
+	}
+}
+
+// CloseStale closes the idle connections that the runner has closed or that
+// are too old to be used again.
+func (c *Client) CloseStale() {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	for _, p := range c.pools {
-		p.closeIdle()
+		p.closeStale()
 	}
 }
 
--- /dev/null
+++ b/io/backend/client_test.go
@@ -0,0 +1,92 @@
+package backend_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"testing"
+	"time"
+
+	"bronzestair/io/backend"
+)
+
+const testTimeout = 20 * time.Second
+
+// countedServer reports each connection that is opened and closed.
+func countedServer(t *testing.T, h http.HandlerFunc) (address netip.AddrPort, opened, closed chan bool) {
+	t.Helper()
+	opened, closed = make(chan bool, 16), make(chan bool, 16)
+	server := httptest.NewUnstartedServer(h)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			opened <- true
+		case http.StateClosed:
+			closed <- true
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String()), opened, closed
+}
+
+// get sends one request and reads its whole answer.
+func get(t *testing.T, client *backend.Client, address netip.AddrPort) {
+	t.Helper()
+	answer, err := client.Send(t.Context(), backend.Attempt{
+		Address:  address,
+		Request:  &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/"}, Host: "a", Header: http.Header{}},
+		Deadline: time.Now().Add(testTimeout),
+	})
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	answer.Close()
+}
+
+// TestConnectionsToGoneRunnersAreClosed covers an idle connection and one that
+// is in use when the runner leaves the configuration.
+func TestConnectionsToGoneRunnersAreClosed(t *testing.T) {
+	arrived, answer := make(chan bool), make(chan bool)
+	address, opened, closed := countedServer(t, func(http.ResponseWriter, *http.Request) {
+		arrived <- true
+		<-answer
+	})
+	client := backend.NewClient()
+	ended := make(chan bool)
+	for range 2 {
+		go func() {
+			get(t, client, address)
+			ended <- true
+		}()
+		<-arrived
+	}
+	answer <- true
+	<-ended // One connection is idle, the other one in use.
+	client.Retain(map[netip.AddrPort]bool{})
+	<-closed
+	answer <- true
+	<-ended
+	<-closed
+	if n := len(opened); n != 2 {
+		t.Errorf("%d connections were opened, not 2", n)
+	}
+}
+
+// TestConnectionsAreUsedAgain sends requests one after the other, with stale
+// connections being looked for in between.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	address, opened, _ := countedServer(t, func(http.ResponseWriter, *http.Request) {})
+	client := backend.NewClient()
+	defer client.Close()
+	for range 5 {
+		get(t, client, address)
+		client.CloseStale()
+	}
+	if n := len(opened); n != 1 {
+		t.Errorf("%d connections were opened for 5 requests in a row", n)
+	}
+}
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -18,6 +18,8 @@
 
 	mu   sync.Mutex
 	idle []*conn
+	// closed says that the runner is gone, so that no connection is kept.
+	closed bool
 }
 
 // get returns an idle connection that is still good, or a new one.
@@ -59,7 +61,7 @@
 func (p *pool) put(c *conn) {
 	c.idleAt = time.Now()
 	p.mu.Lock()
-	full := int64(len(p.idle)) >= p.maxIdle.Load()
+	full := p.closed || int64(len(p.idle)) >= p.maxIdle.Load()
 	if !full {
 		p.idle = append(p.idle, c)
 	}
@@ -69,13 +71,29 @@
 	}
 }
 
-// closeIdle closes all idle connections.
-func (p *pool) closeIdle() {
+// closeAll closes all idle connections and keeps none from now on.
+func (p *pool) closeAll() {
 	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
+	p.closed = true
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.Close()
 	}
 }
+
+// closeStale closes the idle connections that would not be used again.
+func (p *pool) closeStale() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	for _, c := range idle {
+		if time.Since(c.idleAt) < p.idleFor && c.quiet() {
+			p.idle = append(p.idle, c)
+		} else {
+			c.Close()
+		}
+	}
+	p.mu.Unlock()
+}
