Blame a runner only for what is its fault

Cause: callers that left before their request was sent, and deadlines of a few milliseconds, counted as failures of the runner: five in a row took it out. Found by reading. Change: an attempt that was not begun has a result of its own; a late answer counts only after four times the usual time and 250 ms. Conclusion: callers cannot take runners out by themselves.

--- a/core/entry/attempt.go
+++ b/core/entry/attempt.go
@@ -110,7 +110,7 @@
 	tried := r.runner
 	tried.ledger.Release(r.slot)
 	s.learn(r, e.Result)
-	if e.Result != NotSent {
+	if e.Result != NotSent && e.Result != NotTried {
 		r.mayHaveRun = true
 	}
 	switch {
@@ -191,12 +191,33 @@
 		r.runner.latency = smooth(r.runner.latency, took)
 		r.service.latency = smooth(r.service.latency, took)
 	default:
-		if r.runner.health.Failed() {
+		if s.blames(r, result) && r.runner.health.Failed() {
 			s.eject(r.runner)
 		}
 	}
 }
 
+const (
+	// blameFactor times the usual latency is how long a runner may take without blame.
+	blameFactor = 4
+	// minBlameTime is the shortest time after which a late runner is blamed.
+	minBlameTime = 250 * time.Millisecond
+)
+
+// blames reports whether a bad outcome is the runner's fault. A deadline that
+// a caller chose too short, and an attempt that was not begun, are not.
+func (s *State) blames(r *request, result Result) bool {
+	if result == NotTried {
+		return false
+	}
+	late := !s.now.Before(r.deadline)
+	if !late || result == Broken || result == Failed {
+		return true
+	}
+	allowed := max(time.Duration(blameFactor*r.service.latency), minBlameTime)
+	return s.now.Sub(r.startedAt) >= allowed
+}
+
 func smooth(old, sample float64) float64 {
 	if old == 0 {
 		return sample
--- a/core/entry/event.go
+++ b/core/entry/event.go
@@ -83,6 +83,8 @@
 	Succeeded
 	// Failed means a whole answer that says that the runner is unwell (500, 502 to 504).
 	Failed
+	// NotTried means that the attempt was not begun, for no fault of the runner.
+	NotTried
 )
 
 // AttemptEnded says how an attempt ended.
--- a/core/entry/request_test.go
+++ b/core/entry/request_test.go
@@ -109,7 +109,7 @@
 func (p *path) end(id entry.RequestID, result entry.Result) {
 	r := p.known[id]
 	r.inFlight = false
-	if result != entry.NotSent {
+	if result != entry.NotSent && result != entry.NotTried {
 		r.mayHaveRun = true
 	}
 	p.submit(&entry.AttemptEnded{Request: id, Attempt: r.attempt, Result: result})
@@ -179,7 +179,7 @@
 	id := rapid.SampledFrom(*ids).Draw(t, "request")
 	switch {
 	case step < 6 && p.known[id].inFlight:
-		p.end(id, entry.Result(rapid.IntRange(0, int(entry.Failed)).Draw(t, "result")))
+		p.end(id, entry.Result(rapid.IntRange(0, int(entry.NotTried)).Draw(t, "result")))
 	case step == 6:
 		p.submit(&entry.CallerLeft{Request: id})
 	case step == 7:
@@ -342,3 +342,49 @@
 		t.Errorf("%v are still out after a good probe", got)
 	}
 }
+
+// TestRunnerIsNotBlamedForCallers has many requests end without an answer for
+// reasons that are not the runner's.
+func TestRunnerIsNotBlamedForCallers(t *testing.T) {
+	ends := map[string]func(p *path, id entry.RequestID){
+		"caller that left before the request was sent": func(p *path, id entry.RequestID) {
+			p.submit(&entry.CallerLeft{Request: id})
+			p.end(id, entry.NotTried)
+		},
+		"deadline shorter than a usual request": func(p *path, id entry.RequestID) {
+			p.now = p.now.Add(10 * time.Millisecond)
+			p.end(id, entry.TimedOut)
+		},
+	}
+	for name, end := range ends {
+		p := newPath([]service.Service{{ID: "seats", Pool: "seats"}},
+			[]runner.Runner{{ID: "seats-1", Pool: "seats"}, {ID: "seats-2", Pool: "seats"}})
+		for id := range entry.RequestID(50) {
+			p.arrive(id, p.in(10*time.Millisecond))
+			end(p, id)
+		}
+		if got := p.state.Status().Services[0].Ejected; len(got) > 0 {
+			t.Errorf("%s: %v are taken out", name, got)
+		}
+	}
+}
+
+// TestSilentRunnerIsBlamed has one of two runners let requests time out that
+// were given more than enough time.
+func TestSilentRunnerIsBlamed(t *testing.T) {
+	p := newPath([]service.Service{{ID: "seats", Pool: "seats"}},
+		[]runner.Runner{{ID: "seats-1", Pool: "seats"}, {ID: "seats-2", Pool: "seats"}})
+	for id := range entry.RequestID(60) {
+		p.arrive(id, p.in(2*time.Second))
+		if p.effects[0].Runner == "seats-1" {
+			p.now = p.now.Add(2 * time.Second)
+			p.end(id, entry.TimedOut)
+			continue
+		}
+		p.now = p.now.Add(20 * time.Millisecond)
+		p.end(id, entry.Succeeded)
+	}
+	if diff := cmp.Diff([]runner.ID{"seats-1"}, p.state.Status().Services[0].Ejected); diff != "" {
+		t.Errorf("ejected runners (-want +got):\n%s", diff)
+	}
+}
--- a/io/backend/error.go
+++ b/io/backend/error.go
@@ -16,6 +16,8 @@
 	Verdict verdict.Verdict
 	// Timeout says that the deadline passed.
 	Timeout bool
+	// Untried says that the attempt was not begun.
+	Untried bool
 	cause   error
 }
 
@@ -28,7 +30,15 @@
 func (e *Error) Unwrap() error { return e.cause }
 
 // NotSent returns the error of an attempt that was not begun.
-func NotSent(cause error) error { return failure(verdict.NotRun, cause) }
+func NotSent(cause error) error {
+	return &Error{Verdict: verdict.NotRun, Untried: true, Timeout: isTimeout(cause), cause: merry.Wrap(cause, merry.NoCaptureStack())}
+}
+
+// IsUntried reports whether the attempt was not begun.
+func IsUntried(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Untried
+}
 
 // VerdictOf returns the verdict of a failed attempt. An error of unknown
 // origin is MayHaveRun.
@@ -47,6 +57,9 @@
 }
 
 func failure(v verdict.Verdict, cause error) error {
-	timeout := errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded)
-	return &Error{Verdict: v, Timeout: timeout, cause: merry.Wrap(cause, merry.NoCaptureStack())}
+	return &Error{Verdict: v, Timeout: isTimeout(cause), cause: merry.Wrap(cause, merry.NoCaptureStack())}
+}
+
+func isTimeout(cause error) bool {
+	return errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.DeadlineExceeded)
 }
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -29,7 +29,7 @@
 		traceContext.Inject(ctx, propagation.HeaderCarrier(ex.request.Header))
 	}
 	if ex.left {
-		s.reportAttempt(ex, effect, entry.NotSent)
+		s.reportAttempt(ex, effect, entry.NotTried)
 		return verdict.NotRun, false
 	}
 	answer, err := s.send(ex, effect, w)
@@ -97,6 +97,8 @@
 
 func resultOf(err error) entry.Result {
 	switch {
+	case backend.IsUntried(err):
+		return entry.NotTried
 	case backend.VerdictOf(err) == verdict.NotRun:
 		return entry.NotSent
 	case backend.IsTimeout(err):
