Keep the ports that tests rely on

Cause: 'connect is refused' failed once in 2 runs under -race: the port that it had closed was taken by another test's stand-in, which answered 404. The entry was right. Change: the refusing port stays bound without listening; the daemon's test uses a loopback IP of its own. The check is the same. Conclusion: the tests do not depend on which ports the others get.

--- a/cmd/bronzestaird/main_test.go
+++ b/cmd/bronzestaird/main_test.go
@@ -37,10 +37,11 @@
 	os.Exit(m.Run())
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns an address that was free a moment ago, on a loopback IP
+// that no other test uses.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.77.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/failure_test.go
+++ b/failure_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,6 +104,7 @@
 // scripted is a backend server that behaves as told, connection by connection.
 type scripted struct {
 	listener  net.Listener
+	address   netip.AddrPort
 	script    []string
 	runs      atomic.Int32
 	accepted  int
@@ -113,21 +115,37 @@
 
 func startScripted(t *testing.T, script []string) *scripted {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &scripted{listener: l, script: script, closed: make(chan struct{})}
+	s := &scripted{script: script, closed: make(chan struct{})}
 	if script[0] == "refuse" {
-		l.Close()
+		s.address = refusingAddress(t)
 		return s
 	}
+	s.listener = loopback(t)
+	s.address = s.listener.Addr().(*net.TCPAddr).AddrPort()
 	go s.accept()
 	t.Cleanup(s.close)
 	return s
 }
 
-func (s *scripted) address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+// refusingAddress returns an address that refuses connections. The port stays
+// taken, so that no other test can listen there.
+func refusingAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	inet := name.(*syscall.SockaddrInet4)
+	return netip.AddrPortFrom(netip.AddrFrom4(inet.Addr), uint16(inet.Port))
+}
 
 func (s *scripted) close() {
 	s.closeOnce.Do(func() { close(s.closed) })
@@ -245,7 +263,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			backend := startScripted(t, c.backend)
-			d := startDeployment(t, backend.address())
+			d := startDeployment(t, backend.address)
 			status, answered := d.send(t, c)
 			d.stop(t)
 			got := outcome{Status: status, Verdict: answered, Runs: int(backend.runs.Load()), Book: d.onlyBookLine(t)}
