End an entry that has lost an address; drop what nothing uses

Cause: an entry whose callers' listener broke went on without serving anybody. Found by reading the whole change again. Change: the entry drains and ends with the error. Unused methods are gone (Entry.Totals, State.Active, State.Service); slices.Contains in place of a copy; backend.NotSent is named NotTried, like the result that it becomes; a comment said that Run files the last lines, which File does. Conclusion: a broken entry is replaced in place of staying.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -27,7 +27,6 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
-	"bronzestair/core/book"
 	"bronzestair/core/entry"
 	"bronzestair/core/fleet"
 	"bronzestair/core/runner"
@@ -171,9 +170,6 @@
 	return status
 }
 
-// Totals returns the book lines of this incarnation.
-func (e *Entry) Totals() book.Totals { return e.books.Totals() }
-
 // Run serves until the context ends, then ends gracefully: readiness goes off
 // first, no request in flight is cut off, and all book lines are filed.
 func (e *Entry) Run(ctx context.Context) error {
@@ -183,7 +179,7 @@
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	var group errgroup.Group
+	group, running := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.server.Serve(listeners.callers) })
 	group.Go(func() error { return e.operators.Serve(listeners.operators) })
 	group.Go(func() error { return e.peers.Serve(listeners.peers) })
@@ -196,7 +192,8 @@
 		"operators", listeners.operators.Addr().String(),
 		"peers", listeners.peers.Addr().String())
 
-	<-ctx.Done()
+	// Either the end was asked for, or an address is lost.
+	<-running.Done()
 	err = e.drain(background)
 	stopBackground()
 	e.peers.Close()
--- a/core/entry/state.go
+++ b/core/entry/state.go
@@ -176,9 +176,6 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
-// Active returns the number of requests that have not ended.
-func (s *State) Active() int { return s.active }
-
 // Version returns the version of the configuration in force, 0 for none.
 func (s *State) Version() fleet.Version {
 	if s.fleet == nil {
@@ -187,15 +184,6 @@
 	return s.fleet.Version
 }
 
-// Service returns the configuration of a service.
-func (s *State) Service(id service.ID) (service.Service, bool) {
-	svc, ok := s.services[id]
-	if !ok {
-		return service.Service{}, false
-	}
-	return svc.config, true
-}
-
 func (s *State) checkStopped() {
 	if s.stopping && s.active == 0 {
 		s.emit(Effect{Kind: Stopped})
--- a/deployment_test.go
+++ b/deployment_test.go
@@ -31,6 +31,7 @@
 	entry    *bronzestair.Entry
 	callers  netip.AddrPort
 	peers    net.Listener
+	listener net.Listener
 	client   *http.Client
 	cancel   context.CancelFunc
 	ended    chan error
@@ -132,6 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.listener = callers
 	d.callers = callers.Addr().(*net.TCPAddr).AddrPort()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
--- a/io/backend/client.go
+++ b/io/backend/client.go
@@ -209,7 +209,7 @@
 	}
 	if !a.NotAfter.IsZero() && !time.Now().Before(a.NotAfter) {
 		p.put(cn)
-		return nil, NotSent(merry.Errorf("the slot's term ended at %v", a.NotAfter))
+		return nil, NotTried(merry.Errorf("the slot's term ended at %v", a.NotAfter))
 	}
 	up, err := send(cn, a)
 	if err != nil {
--- a/io/backend/error.go
+++ b/io/backend/error.go
@@ -16,9 +16,9 @@
 	Verdict verdict.Verdict
 	// Timeout says that the deadline passed.
 	Timeout bool
-	// Untried says that the attempt was not begun.
-	Untried bool
-	cause   error
+	// NotTried says that the attempt was not begun.
+	NotTried bool
+	cause    error
 }
 
 // Error implements error.
@@ -29,15 +29,15 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// NotSent returns the error of an attempt that was not begun.
-func NotSent(cause error) error {
-	return &Error{Verdict: verdict.NotRun, Untried: true, Timeout: isTimeout(cause), cause: merry.Wrap(cause, merry.NoCaptureStack())}
+// NotTried returns the error of an attempt that was not begun.
+func NotTried(cause error) error {
+	return &Error{Verdict: verdict.NotRun, NotTried: true, Timeout: isTimeout(cause), cause: merry.Wrap(cause, merry.NoCaptureStack())}
 }
 
-// IsUntried reports whether the attempt was not begun.
-func IsUntried(err error) bool {
+// IsNotTried reports whether the attempt was not begun.
+func IsNotTried(err error) bool {
 	var e *Error
-	return errors.As(err, &e) && e.Untried
+	return errors.As(err, &e) && e.NotTried
 }
 
 // VerdictOf returns the verdict of a failed attempt. An error of unknown
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -53,7 +53,7 @@
 func (s *Server) send(ex *exchange, effect entry.Effect, w http.ResponseWriter) (*backend.Answer, error) {
 	endpoint, ok := s.directory.Runner(effect.Runner)
 	if !ok {
-		return nil, backend.NotSent(merry.Errorf("runner %q is no longer in the configuration", effect.Runner))
+		return nil, backend.NotTried(merry.Errorf("runner %q is no longer in the configuration", effect.Runner))
 	}
 	attempt := backend.Attempt{
 		Address:  endpoint.Address,
@@ -97,7 +97,7 @@
 
 func resultOf(err error) entry.Result {
 	switch {
-	case backend.IsUntried(err):
+	case backend.IsNotTried(err):
 		return entry.NotTried
 	case backend.VerdictOf(err) == verdict.NotRun:
 		return entry.NotSent
--- a/io/jsonc/flags.go
+++ b/io/jsonc/flags.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"io"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -40,7 +41,7 @@
 			return d.fault(member.Name, key, merry.Errorf("key %q stands twice", key))
 		}
 		seen[key] = true
-		if flags.Lookup(name) == nil || contains(ignore, name) || key != camel(name) {
+		if flags.Lookup(name) == nil || slices.Contains(ignore, name) || key != camel(name) {
 			return d.fault(member.Name, key, merry.Errorf("key %q does not exist", key))
 		}
 		literal, ok := member.Value.Value.(hujson.Literal)
@@ -80,15 +81,6 @@
 	return merry.Errorf("value %q is not a %s", value, kind)
 }
 
-func contains(list []string, s string) bool {
-	for _, item := range list {
-		if item == s {
-			return true
-		}
-	}
-	return false
-}
-
 // kebab turns callerAddress into caller-address.
 func kebab(key string) string {
 	var b strings.Builder
--- a/io/platform/books.go
+++ b/io/platform/books.go
@@ -30,9 +30,8 @@
 	filer  Filer
 	logger *slog.Logger
 
-	mu     sync.Mutex
-	lines  []book.Line
-	totals book.Totals
+	mu    sync.Mutex
+	lines []book.Line
 	// batch is what is filed next. Its lines do not change until it is filed,
 	// so that a write that arrives late or twice does no harm.
 	batch book.Batch
@@ -51,17 +50,9 @@
 func (b *Books) Add(line book.Line) {
 	b.mu.Lock()
 	b.lines = append(b.lines, line)
-	b.totals.Add(line)
 	b.mu.Unlock()
 }
 
-// Totals returns the lines taken so far.
-func (b *Books) Totals() book.Totals {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.totals
-}
-
 // Unfiled returns how many lines wait to be filed.
 func (b *Books) Unfiled() int {
 	b.mu.Lock()
@@ -69,7 +60,7 @@
 	return len(b.lines) + len(b.batch.Lines)
 }
 
-// Run files lines until the context ends, then files the rest.
+// Run files lines until the context ends. File then files the rest.
 func (b *Books) Run(ctx context.Context) {
 	ticker := time.NewTicker(fileEvery)
 	defer ticker.Stop()
--- a/race_test.go
+++ b/race_test.go
@@ -194,3 +194,18 @@
 	d.stop(t)
 	d.checkVerdicts(t, map[book.Key]string{"one": "answered", "two": "answered"})
 }
+
+// TestLostListenerEndsEntry has the callers' address break: the entry ends and
+// says why, so that it is replaced.
+func TestLostListenerEndsEntry(t *testing.T) {
+	_, d := startHeld(t, 1)
+	d.listener.Close()
+	select {
+	case err := <-d.ended:
+		if err == nil {
+			t.Error("the entry ended without an error")
+		}
+	case <-time.After(testTimeout):
+		t.Error("the entry goes on without its callers' address")
+	}
+}
