--- /dev/null
+++ b/core/job/job.go
@@ -0,0 +1,274 @@
+// Package job describes the work that callers hand in: jobs of steps, and the
+// tasks of these steps.
+//
+// # Usage
+//
+//	spec := job.Spec{Payload: "reindex", Steps: []job.Step{{Count: 4, CPU: 500}}}
+//	if err := spec.Validate(); err != nil {
+//		return err
+//	}
+//	record := job.Record{Pool: "booking", Queue: "seats", Spec: spec, Accepted: time.Now()}
+//	row, err := record.Encode()
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Limits of a job, so that one caller cannot exhaust an entry's memory.
+const (
+	// MaxPayload is the longest payload in bytes.
+	MaxPayload = 4000
+	// MaxSteps is the largest number of steps.
+	MaxSteps = 256
+	// MaxTasks is the largest number of tasks in all steps of one occurrence.
+	MaxTasks = 10_000
+	// MaxOccurrences bounds how often a job repeats.
+	MaxOccurrences = 100_000
+)
+
+// ID names a job within its queue: 16 hexadecimal digits that the caller chose.
+type ID string
+
+var idPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
+
+// Valid reports whether the id has the form of an ID.
+func (id ID) Valid() bool { return idPattern.MatchString(string(id)) }
+
+// QueueName names a queue of jobs.
+type QueueName string
+
+// PoolName names a pool of instances.
+type PoolName string
+
+// Milli is an amount of processor time per time in thousandths of a core.
+type Milli int
+
+// MiB is an amount of memory in mebibytes.
+type MiB int
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job ID
+	// Occurrence is 0 for a job that does not repeat.
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the four parts joined by dots.
+func (t TaskID) String() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// StepKey returns the name of the task's step.
+func (t TaskID) StepKey() string {
+	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
+}
+
+// ParseTaskID reads the form that String returns.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task %q does not have four parts", text)
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task %q: %q is not a number", text, part)
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: ID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// Resources are what a task takes of an instance, or what an instance has.
+type Resources struct {
+	CPU    Milli `json:"cpu,omitempty"`
+	Memory MiB   `json:"memory,omitempty"`
+	GPU    int   `json:"gpu,omitempty"`
+}
+
+// Add returns the sum of both.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{CPU: r.CPU + o.CPU, Memory: r.Memory + o.Memory, GPU: r.GPU + o.GPU}
+}
+
+// Sub returns what is left without o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, GPU: r.GPU - o.GPU}
+}
+
+// Fits reports whether r has room for o.
+func (r Resources) Fits(o Resources) bool {
+	return o.CPU <= r.CPU && o.Memory <= r.Memory && o.GPU <= r.GPU
+}
+
+// Step is a set of like tasks.
+type Step struct {
+	Count int `json:"count"`
+	Resources
+	// EstimatedRuntime is the caller's rough estimate for one task.
+	EstimatedRuntime time.Duration `json:"estimatedRuntime,omitempty"`
+	// After lists earlier steps that must be done first.
+	After []int `json:"after,omitempty"`
+	// Checkpointing tasks save their progress as they run.
+	Checkpointing bool `json:"checkpointing,omitempty"`
+	// Gang tasks work only while all of the step's tasks are present.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack tasks run longer when spread over racks.
+	SameRack bool `json:"sameRack,omitempty"`
+	// Needs is a label that the instance must have.
+	Needs string `json:"needs,omitempty"`
+	// DataRack is where the data is; elsewhere the tasks run longer.
+	DataRack string `json:"dataRack,omitempty"`
+	// MaxPerInstance bounds the step's tasks on one instance, if it is not 0.
+	MaxPerInstance int `json:"maxPerInstance,omitempty"`
+	// Speculative tasks may run in several copies at once.
+	Speculative bool `json:"speculative,omitempty"`
+	// Persistent tasks run until the job is cancelled.
+	Persistent bool `json:"persistent,omitempty"`
+	// Image names what runs; tasks of one image behave alike.
+	Image string `json:"image,omitempty"`
+	// LatencyTarget bounds the tail of a persistent task's own response times.
+	LatencyTarget time.Duration `json:"latencyTarget,omitempty"`
+	// Fills tasks take the processor time that others leave and reserve none.
+	Fills bool `json:"fills,omitempty"`
+	// MayMiss is how many persistent tasks planned work may interrupt at a time.
+	MayMiss int `json:"mayMiss,omitempty"`
+}
+
+// Demand returns what one task reserves on its instance.
+func (s *Step) Demand() Resources {
+	r := s.Resources
+	if s.Fills {
+		r.CPU = 0
+	}
+	return r
+}
+
+// Repeat says when the occurrences of a job are due. A zero Count means that
+// the job runs once and at once.
+type Repeat struct {
+	Count    int           `json:"count,omitempty"`
+	Start    time.Time     `json:"start,omitzero"`
+	Interval time.Duration `json:"interval,omitempty"`
+}
+
+// Spec is what a caller hands in.
+type Spec struct {
+	// Payload is passed to every task as it is.
+	Payload string `json:"payload"`
+	Steps   []Step `json:"steps"`
+	Repeat  Repeat `json:"repeat,omitzero"`
+}
+
+// Occurrences returns how often the steps run.
+func (s *Spec) Occurrences() int { return max(1, s.Repeat.Count) }
+
+// Due returns when an occurrence may start; the zero time means at once.
+func (s *Spec) Due(occurrence int) time.Time {
+	if s.Repeat.Count == 0 {
+		return time.Time{}
+	}
+	return s.Repeat.Start.Add(time.Duration(occurrence) * s.Repeat.Interval)
+}
+
+// Persistent reports whether the job runs until it is cancelled.
+func (s *Spec) Persistent() bool {
+	for i := range s.Steps {
+		if s.Steps[i].Persistent {
+			return true
+		}
+	}
+	return false
+}
+
+// Validate returns why the spec cannot be accepted.
+func (s *Spec) Validate() error {
+	switch {
+	case len(s.Payload) > MaxPayload:
+		return fmt.Errorf("payload has %d bytes, more than %d", len(s.Payload), MaxPayload)
+	case len(s.Steps) == 0:
+		return fmt.Errorf("a job needs at least one step")
+	case len(s.Steps) > MaxSteps:
+		return fmt.Errorf("job has %d steps, more than %d", len(s.Steps), MaxSteps)
+	case s.Repeat.Count < 0 || s.Repeat.Count > MaxOccurrences || s.Repeat.Interval < 0:
+		return fmt.Errorf("repeat count %d or interval %v is out of range", s.Repeat.Count, s.Repeat.Interval)
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].validate(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		tasks += s.Steps[i].Count
+		if tasks > MaxTasks {
+			return fmt.Errorf("job has more than %d tasks", MaxTasks)
+		}
+	}
+	return nil
+}
+
+func (s *Step) validate(index int) error {
+	if s.Count < 1 || s.Count > MaxTasks {
+		return fmt.Errorf("count %d is not between 1 and %d", s.Count, MaxTasks)
+	}
+	if s.CPU < 0 || s.Memory < 0 || s.GPU < 0 || s.MaxPerInstance < 0 || s.MayMiss < 0 ||
+		s.EstimatedRuntime < 0 || s.LatencyTarget < 0 {
+		return fmt.Errorf("a negative amount")
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= index {
+			return fmt.Errorf("after names step %d, which is not an earlier step", before)
+		}
+	}
+	return nil
+}
+
+// Record is the stored form of an accepted job.
+type Record struct {
+	Pool     PoolName  `json:"pool"`
+	Queue    QueueName `json:"queue"`
+	ID       ID        `json:"id"`
+	Spec     Spec      `json:"spec"`
+	Accepted time.Time `json:"accepted"`
+}
+
+// Encode returns the row's value.
+func (r *Record) Encode() ([]byte, error) { return json.Marshal(r) }
+
+// DecodeRecord reads a row's value. Errors name what is wrong with the row.
+func DecodeRecord(value []byte) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, fmt.Errorf("job row: %w", err)
+	}
+	if r.Pool == "" || r.Queue == "" || !r.ID.Valid() {
+		return nil, fmt.Errorf("job row lacks pool, queue or id")
+	}
+	if err := r.Spec.Validate(); err != nil {
+		return nil, fmt.Errorf("job row: %w", err)
+	}
+	return &r, nil
+}
+
+// Chain estimates the longest chain of work of one occurrence.
+func (s *Spec) Chain() time.Duration {
+	ends := make([]time.Duration, len(s.Steps))
+	var longest time.Duration
+	for i := range s.Steps {
+		var begin time.Duration
+		for _, before := range s.Steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + s.Steps[i].EstimatedRuntime
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/core/maintenance/wave.go
@@ -0,0 +1,330 @@
+package maintenance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+)
+
+// Timing of maintenance.
+const (
+	// listInterval is how often the list of instances is read while it matters.
+	listInterval = 500 * time.Millisecond
+	// idleListInterval is how often it is read else.
+	idleListInterval = 2 * time.Second
+	// reportAge is how old a pool's report may be.
+	reportAge = 1500 * time.Millisecond
+	// emptyPatience is how long tasks that end by themselves are waited for.
+	emptyPatience = 2500 * time.Millisecond
+	// orderRetry is the pause before an order without an answer is sent again.
+	orderRetry = 400 * time.Millisecond
+	// settleTime is how long after its usual time an order is given up on.
+	settleTime = 6 * time.Second
+	// poolShare bounds the part of a pool that is cordoned for waves at once.
+	poolShare = 3
+)
+
+// The states of a wave that the operator is told.
+const (
+	waveRunning   = "running"
+	waveCompleted = "completed"
+)
+
+// apply implements Event.
+func (e *PoolsChanged) apply(p *Planner, _ time.Time) {
+	clear(p.pools)
+	for _, settings := range e.Pools {
+		p.pools[settings.Name] = settings
+	}
+}
+
+// apply implements Event.
+func (e *Reported) apply(p *Planner, now time.Time) {
+	p.reports[e.Report.Pool] = poolReport{Report: e.Report, at: now}
+}
+
+// apply implements Event.
+func (e *WaveSeen) apply(p *Planner, now time.Time) {
+	w := p.waves[e.Wave.Number]
+	if w == nil {
+		w = &waveState{since: now, begun: map[InstanceID]bool{}}
+		p.waves[e.Wave.Number] = w
+	}
+	w.Wave = e.Wave
+	for _, id := range e.Begun {
+		w.begun[id] = true
+	}
+	if e.Completed {
+		w.reported = waveCompleted
+	}
+}
+
+// apply implements Event.
+func (e *Listed) apply(p *Planner, now time.Time) {
+	p.listing = false
+	if e.Failed {
+		p.listNext = now.Add(listInterval)
+		return
+	}
+	p.listedAt = e.Asked
+	clear(p.instances)
+	for _, instance := range e.Instances {
+		p.instances[instance.ID] = instance
+	}
+	p.settleOrders(now)
+}
+
+// settleOrders drops the orders whose effect is over.
+func (p *Planner) settleOrders(now time.Time) {
+	for id, o := range p.orders {
+		instance, listed := p.instances[id]
+		usual := p.options.UpkeepTime
+		if o.target != "" {
+			usual = p.options.MoveTime
+		}
+		switch {
+		case o.inFlight || o.accepted.IsZero():
+		case !listed:
+			delete(p.orders, id)
+		case instance.State == Up && instance.Runner != o.runner && p.listedAt.After(o.accepted):
+			delete(p.orders, id)
+		case now.Sub(o.accepted) > usual+settleTime:
+			delete(p.orders, id)
+		}
+	}
+}
+
+// apply implements Event.
+func (Ticked) apply(p *Planner, now time.Time) {
+	interval := idleListInterval
+	if p.active() {
+		interval = listInterval
+	}
+	if !p.listing && now.Sub(p.listNext) >= 0 {
+		p.listing = true
+		p.listNext = now.Add(interval)
+		p.emit(&ListInstances{})
+	}
+	p.retryOrders(now)
+	if p.listedAt.IsZero() || now.Before(p.options.OrdersAfter) {
+		return
+	}
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
+		p.planWave(now, p.waves[number])
+	}
+	p.planMoves(now)
+}
+
+// active reports whether upkeeps or moves are under way or due.
+func (p *Planner) active() bool {
+	if len(p.orders) > 0 || len(p.cordons) > 0 {
+		return true
+	}
+	for _, w := range p.waves {
+		if w.reported != waveCompleted {
+			return true
+		}
+	}
+	return false
+}
+
+// planWave cordons the next instances of a wave and orders the upkeep of those
+// that are empty.
+func (p *Planner) planWave(now time.Time, w *waveState) {
+	if w.reported == waveCompleted {
+		return
+	}
+	left := p.left(w)
+	if len(left) == 0 {
+		if p.underWay(w, func(o *order) bool { return o.accepted.IsZero() }) == 0 {
+			w.reported = waveCompleted
+			p.emit(&ReportWave{Wave: w.Number, State: waveCompleted})
+			p.emit(&Decided{What: "waveCompleted", Reason: "all instances have begun their upkeep"})
+		}
+		return
+	}
+	if w.reported == "" {
+		w.reported = waveRunning
+		p.emit(&ReportWave{Wave: w.Number, State: waveRunning})
+	}
+	room := w.MaxCount - p.underWay(w, func(*order) bool { return true })
+	cordoned := map[job.PoolName]int{}
+	ahead := room + w.MaxCount
+	for _, instance := range left {
+		if p.orders[instance.ID] != nil {
+			continue
+		}
+		if ahead <= 0 {
+			break
+		}
+		if !p.cordonForWave(now, w, instance, cordoned) {
+			continue
+		}
+		ahead--
+		if room > 0 && p.emptied(now, instance) {
+			room--
+			p.orderUpkeep(now, w, instance)
+		}
+	}
+}
+
+// left returns the instances that have not begun their upkeep, the easiest first.
+func (p *Planner) left(w *waveState) []Instance {
+	var out []Instance
+	for _, id := range w.Instances {
+		if w.begun[id] {
+			continue
+		}
+		if instance, ok := p.instances[id]; ok {
+			out = append(out, instance)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(p.effort(a), p.effort(b)), cmp.Compare(a.ID, b.ID))
+	})
+	return out
+}
+
+// effort orders instances by what it takes to empty them.
+func (p *Planner) effort(i Instance) int {
+	line := p.line(i)
+	switch {
+	case p.cordons[i.ID].since != (time.Time{}):
+		return 0
+	case p.pools[i.Pool].Spare:
+		return 1
+	case line == nil:
+		return 1 << 20
+	}
+	return 2 + line.Passing + 100*line.Persistent
+}
+
+// line returns what the owner of an instance's pool says of its runner, or nil.
+func (p *Planner) line(i Instance) *pool.RunnerReport {
+	report := p.reports[i.Pool]
+	for n := range report.Runners {
+		if report.Runners[n].Runner == i.Runner {
+			return &report.Runners[n]
+		}
+	}
+	return nil
+}
+
+// cordonForWave cordons an instance unless too much of its pool is cordoned.
+func (p *Planner) cordonForWave(now time.Time, w *waveState, i Instance, cordoned map[job.PoolName]int) bool {
+	if i.State != Up {
+		return false
+	}
+	if p.pools[i.Pool].Spare {
+		return true
+	}
+	if cordoned[i.Pool] >= max(1, len(p.reports[i.Pool].Runners)/poolShare) {
+		return false
+	}
+	cordoned[i.Pool]++
+	if _, ok := p.cordons[i.ID]; !ok {
+		p.cordons[i.ID] = cordon{since: now, wave: w.Number}
+	}
+	return true
+}
+
+// emptied reports whether an instance runs nothing that must not be ended.
+func (p *Planner) emptied(now time.Time, i Instance) bool {
+	if p.pools[i.Pool].Spare {
+		return true
+	}
+	report := p.reports[i.Pool]
+	if report.at.IsZero() || now.Sub(report.at) > reportAge {
+		return false
+	}
+	line := p.line(i)
+	if line == nil {
+		return report.Recovered
+	}
+	if !line.Cordoned || line.Persistent > 0 {
+		return false
+	}
+	return line.Passing == 0 || now.Sub(p.cordons[i.ID].since) > emptyPatience
+}
+
+// underWay counts the wave's upkeeps that may not be over.
+func (p *Planner) underWay(w *waveState, match func(*order) bool) int {
+	n := 0
+	for _, o := range p.orders {
+		if o.target == "" && o.wave == w.Number && match(o) {
+			n++
+		}
+	}
+	for _, instance := range p.instances {
+		if instance.State == Upkeep && p.orders[instance.ID] == nil && slices.Contains(w.Instances, instance.ID) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Planner) orderUpkeep(now time.Time, w *waveState, i Instance) {
+	p.orders[i.ID] = &order{instance: i.ID, wave: w.Number, from: i.Pool, runner: i.Runner, sent: now, inFlight: true}
+	p.emit(&Decided{Instance: i.ID, What: "upkeepOrdered", Reason: "empty and due", DataAge: now.Sub(p.listedAt)})
+	p.emit(&OrderUpkeep{Instance: i.ID, Wave: w.Number})
+}
+
+// retryOrders sends orders without an answer again.
+func (p *Planner) retryOrders(now time.Time) {
+	for _, o := range p.orders {
+		if o.inFlight || !o.accepted.IsZero() || now.Sub(o.sent) < orderRetry {
+			continue
+		}
+		o.inFlight, o.sent = true, now
+		if o.target != "" {
+			p.emit(&OrderMove{Instance: o.instance, Target: o.target})
+		} else {
+			p.emit(&OrderUpkeep{Instance: o.instance, Wave: o.wave})
+		}
+	}
+}
+
+// apply implements Event.
+func (e *Ordered) apply(p *Planner, now time.Time) {
+	o := p.orders[e.Instance]
+	if o == nil {
+		return
+	}
+	o.inFlight = false
+	switch e.Verdict {
+	case Accepted:
+		o.accepted = now
+		delete(p.cordons, e.Instance)
+		p.emit(&RunnerEnded{Pool: o.from, Runner: o.runner})
+		if w := p.waves[o.wave]; w != nil && o.target == "" {
+			w.begun[e.Instance] = true
+			p.emit(&SaveWave{Wave: w.Number, Begun: slices.Sorted(maps.Keys(w.begun))})
+		}
+	case Busy, Refused:
+		p.emit(&Decided{Instance: e.Instance, What: "orderRefused", Reason: "busy or not possible"})
+		delete(p.orders, e.Instance)
+		if e.Verdict == Refused {
+			delete(p.cordons, e.Instance)
+		}
+	case Fenced:
+		p.emit(&StepDown{})
+	case Unknown, Later:
+	}
+}
+
+// Cordons returns the runners that each pool's owner is to empty.
+func (p *Planner) Cordons() map[job.PoolName][]pool.RunnerID {
+	out := map[job.PoolName][]pool.RunnerID{}
+	for id := range p.cordons {
+		instance, ok := p.instances[id]
+		if !ok {
+			continue
+		}
+		out[instance.Pool] = append(out[instance.Pool], instance.Runner)
+	}
+	return out
+}
--- /dev/null
+++ b/core/ownership/ownership.go
@@ -0,0 +1,319 @@
+// Package ownership decides which process owns a shard of the work. It has no
+// I/O: it takes the claims that are stored and says which to write.
+//
+// A claim is a row that its holder writes again and again. Whoever has seen a
+// row unchanged for the term may replace it, under the condition that it is
+// still the same row. The version of the row that begins an ownership is the
+// owner's fencing token.
+//
+// # Usage
+//
+//	tracker := ownership.New(self)
+//	tracker.Observe(time.Now(), rows)
+//	for _, write := range tracker.Plan(time.Now(), shards) {
+//		// commit write.Claim under the condition write.Expect
+//	}
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Shard names a part of the work that has one owner at a time.
+type Shard string
+
+// Version is the version of a claim's row; 0 means that there is none.
+type Version uint64
+
+// Timing of claims.
+const (
+	// Term is how long a claim holds without being renewed. With takeover and
+	// loading it stays below the lease of tasks.
+	Term = 2 * time.Second
+	// RenewInterval leaves two more tries within the term.
+	RenewInterval = 600 * time.Millisecond
+	// spreadDelay separates the processes that want one shard, and keeps those
+	// back that own others.
+	spreadDelay = 250 * time.Millisecond
+)
+
+// Claim is the stored form of an ownership.
+type Claim struct {
+	Holder string `json:"holder"`
+	// Address is where the holder answers its peers.
+	Address string `json:"address"`
+	// Incarnation tells lives of one holder apart.
+	Incarnation string `json:"incarnation"`
+	// Epoch counts the ownerships of the shard.
+	Epoch int `json:"epoch"`
+	// Released is true if the holder has given the shard up.
+	Released bool `json:"released,omitempty"`
+	// Renewed changes with each renewal.
+	Renewed uint64 `json:"renewed,omitempty"`
+}
+
+// Row is a claim as stored.
+type Row struct {
+	Shard   Shard
+	Claim   Claim
+	Version Version
+}
+
+// Write is a claim to be stored if its row still has the version Expect.
+type Write struct {
+	Shard  Shard
+	Expect Version
+	Claim  Claim
+	// Begins is true for a new ownership, false for a renewal.
+	Begins bool
+}
+
+// Tenure is an ownership that this process has.
+type Tenure struct {
+	Shard Shard
+	Epoch int
+	// Fence is the version of the row that began the ownership.
+	Fence Version
+	// Previous is the holder before, if there was one.
+	Previous string
+	Since    time.Time
+}
+
+// own is the state of a shard that this process owns.
+type own struct {
+	tenure  Tenure
+	version Version
+	claim   Claim
+	// renewed is when the last successful write was sent.
+	renewed time.Time
+	tried   time.Time
+}
+
+// seen is the state of a shard as last read.
+type seen struct {
+	row     Row
+	changed time.Time
+}
+
+// Tracker follows the claims of all shards for one process. Use New.
+type Tracker struct {
+	holder, address, incarnation string
+
+	seen map[Shard]*seen
+	own  map[Shard]*own
+	// vacant is since when a shard is known to be free.
+	vacant map[Shard]time.Time
+	// Passive processes renew nothing and take nothing over.
+	Passive bool
+	// observed is when claims were last read.
+	observed time.Time
+}
+
+// New returns a tracker of a process that owns nothing.
+func New(holder, address, incarnation string) *Tracker {
+	return &Tracker{
+		holder: holder, address: address, incarnation: incarnation,
+		seen: map[Shard]*seen{}, own: map[Shard]*own{}, vacant: map[Shard]time.Time{},
+	}
+}
+
+// observeGap is the longest time between two reads after which a claim that is
+// unchanged still counts as abandoned: its holder could not renew it either
+// while the store was away.
+const observeGap = 1500 * time.Millisecond
+
+// Observe takes all claims as read from the store by a call that has ended, and
+// returns the shards that this process has lost.
+func (t *Tracker) Observe(now time.Time, rows []Row) (lost []Shard) {
+	if now.Sub(t.observed) > observeGap {
+		for _, s := range t.seen {
+			s.changed = now
+		}
+	}
+	t.observed = now
+	for _, row := range rows {
+		s := t.seen[row.Shard]
+		if s == nil {
+			s = &seen{}
+			t.seen[row.Shard] = s
+		}
+		if row.Version > s.row.Version {
+			s.row, s.changed = row, now
+		}
+		if t.note(row) {
+			lost = append(lost, row.Shard)
+		}
+	}
+	return lost
+}
+
+// note compares a stored row with an ownership of this process and reports
+// whether the ownership is over.
+func (t *Tracker) note(row Row) bool {
+	o := t.own[row.Shard]
+	if o == nil || row.Version <= o.version {
+		return false
+	}
+	if row.Claim.Holder == t.holder && row.Claim.Incarnation == t.incarnation && row.Claim.Epoch == o.tenure.Epoch {
+		// A renewal whose answer was lost.
+		o.version = row.Version
+		return false
+	}
+	delete(t.own, row.Shard)
+	return true
+}
+
+// Plan returns the writes that are due.
+func (t *Tracker) Plan(now time.Time, shards []Shard) []Write {
+	if t.Passive {
+		return nil
+	}
+	var writes []Write
+	for shard, o := range t.own {
+		if now.Sub(o.tried) < RenewInterval {
+			continue
+		}
+		o.tried = now
+		claim := o.claim
+		claim.Renewed++
+		o.claim = claim
+		writes = append(writes, Write{Shard: shard, Expect: o.version, Claim: claim})
+	}
+	for _, shard := range shards {
+		if t.own[shard] == nil && t.due(now, shard) {
+			writes = append(writes, t.takeOver(shard))
+		}
+	}
+	slices.SortFunc(writes, func(a, b Write) int {
+		if a.Shard < b.Shard {
+			return -1
+		}
+		return 1
+	})
+	return writes
+}
+
+// due reports whether this process may take a shard over now.
+func (t *Tracker) due(now time.Time, shard Shard) bool {
+	s := t.seen[shard]
+	free := s == nil || s.row.Claim.Released || now.Sub(s.changed) > Term
+	if !free {
+		delete(t.vacant, shard)
+		return false
+	}
+	if t.vacant[shard].IsZero() {
+		t.vacant[shard] = now
+	}
+	return now.Sub(t.vacant[shard]) >= t.delay(shard)
+}
+
+// delay is how long this process leaves a free shard to others.
+func (t *Tracker) delay(shard Shard) time.Duration {
+	hash := xxhash.Sum64String(t.holder + "/" + string(shard))
+	return time.Duration(len(t.own))*spreadDelay + time.Duration(hash%uint64(spreadDelay))
+}
+
+func (t *Tracker) takeOver(shard Shard) Write {
+	w := Write{Shard: shard, Begins: true, Claim: Claim{
+		Holder: t.holder, Address: t.address, Incarnation: t.incarnation, Epoch: 1,
+	}}
+	if s := t.seen[shard]; s != nil {
+		w.Expect = s.row.Version
+		w.Claim.Epoch = s.row.Claim.Epoch + 1
+	}
+	return w
+}
+
+// Written notes that a write, sent at the given time, took effect, and returns
+// the tenure if it begins one.
+func (t *Tracker) Written(sent time.Time, w Write, version Version) (Tenure, bool) {
+	if !w.Begins {
+		if o := t.own[w.Shard]; o != nil {
+			o.version, o.renewed = version, sent
+		}
+		return Tenure{}, false
+	}
+	tenure := Tenure{Shard: w.Shard, Epoch: w.Claim.Epoch, Fence: version, Since: sent}
+	if s := t.seen[w.Shard]; s != nil {
+		tenure.Previous = s.row.Claim.Holder
+	}
+	t.own[w.Shard] = &own{tenure: tenure, version: version, claim: w.Claim, renewed: sent, tried: sent}
+	delete(t.vacant, w.Shard)
+	return tenure, true
+}
+
+// Drop ends an ownership of this process.
+func (t *Tracker) Drop(shard Shard) { delete(t.own, shard) }
+
+// Extend notes that at the given time nobody could have taken a shard over.
+func (t *Tracker) Extend(now time.Time) {
+	for _, o := range t.own {
+		if now.After(o.renewed) {
+			o.renewed = now
+		}
+	}
+}
+
+// Valid reports whether this process surely still owns a shard. Both the
+// steady clock, which may stand still while a machine is suspended, and the
+// time of day must agree.
+func (t *Tracker) Valid(now time.Time, shard Shard) bool {
+	o := t.own[shard]
+	return o != nil && now.Sub(o.renewed) < Term && now.Round(0).Sub(o.renewed.Round(0)) < Term
+}
+
+// giveUpAfter is how long a process goes on without a renewal before it forgets
+// the shard. It gives no orders meanwhile.
+const giveUpAfter = 30 * time.Second
+
+// Held reports whether this process may get a shard's claim renewed yet.
+func (t *Tracker) Held(now time.Time, shard Shard) bool {
+	o := t.own[shard]
+	return o != nil && now.Sub(o.renewed) < giveUpAfter
+}
+
+// Oldest returns when the ownership that was renewed longest ago was renewed.
+func (t *Tracker) Oldest() (time.Time, bool) {
+	var oldest time.Time
+	for _, o := range t.own {
+		if oldest.IsZero() || o.renewed.Before(oldest) {
+			oldest = o.renewed
+		}
+	}
+	return oldest, !oldest.IsZero()
+}
+
+// Releases returns the writes that give up all shards of this process.
+func (t *Tracker) Releases() []Write {
+	var writes []Write
+	for shard, o := range t.own {
+		claim := o.claim
+		claim.Released = true
+		writes = append(writes, Write{Shard: shard, Expect: o.version, Claim: claim})
+	}
+	return writes
+}
+
+// Owner returns the last known claim of a shard.
+func (t *Tracker) Owner(shard Shard) (Claim, bool) {
+	s := t.seen[shard]
+	if s == nil || s.row.Claim.Released {
+		return Claim{}, false
+	}
+	return s.row.Claim, true
+}
+
+// Peers returns the addresses of the other processes that hold claims.
+func (t *Tracker) Peers() []string {
+	var addresses []string
+	for _, s := range t.seen {
+		if a := s.row.Claim.Address; a != t.address && !slices.Contains(addresses, a) {
+			addresses = append(addresses, a)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
--- /dev/null
+++ b/core/pool/dispatch.go
@@ -0,0 +1,299 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// activate starts the occurrences that have become due.
+func (p *Pool) activate(now time.Time) {
+	for _, j := range p.jobs {
+		if j.record.Spec.Repeat.Count == 0 || j.outcome != "" || !p.extend(now, j) {
+			continue
+		}
+		p.openSteps(now, j, j.occurrences[len(j.occurrences)-1])
+	}
+}
+
+// candidate is a job with tasks to place.
+type candidate struct {
+	job  *jobState
+	rank rank
+}
+
+// rank orders jobs for placement; the lowest comes first.
+type rank struct {
+	tier     int
+	priority int
+	due      time.Time
+}
+
+// Tiers of rank. Persistent tasks earn as long as they run and must not wait.
+// Among the others those go first that can still meet their objective.
+const (
+	tierPersistent = iota
+	tierInTime
+	tierLate
+	tierWorthless
+)
+
+// lateFactor times the objective is when a job is of no more use to its caller.
+const lateFactor = 3
+
+// dispatch places as many ready tasks as fit, in order of rank.
+func (p *Pool) dispatch(now time.Time) {
+	candidates := p.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	usable := p.usableRunners(now)
+	for _, c := range candidates {
+		if len(usable) == 0 {
+			return
+		}
+		for _, o := range c.job.occurrences {
+			for _, step := range o.steps {
+				if step.ready > 0 {
+					p.placeStep(now, c.job, step, &usable)
+				}
+			}
+		}
+	}
+}
+
+// candidates returns the jobs with ready tasks that may be placed now.
+func (p *Pool) candidates(now time.Time) []candidate {
+	recovered := p.recovered(now)
+	var out []candidate
+	for _, j := range p.jobs {
+		if j.outcome != "" || (j.inherited && !recovered) {
+			continue
+		}
+		if j.ready() > 0 {
+			out = append(out, candidate{job: j, rank: p.rank(now, j)})
+		}
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.rank.tier, b.rank.tier),
+			cmp.Compare(a.rank.priority, b.rank.priority),
+			a.rank.due.Compare(b.rank.due),
+			cmp.Compare(a.job.id(), b.job.id()),
+		)
+	})
+	return out
+}
+
+func (j *jobState) ready() int {
+	n := 0
+	for _, o := range j.occurrences {
+		for _, step := range o.steps {
+			n += step.ready
+		}
+	}
+	return n
+}
+
+// rank places a job by its objective and the work that is left of it.
+func (p *Pool) rank(now time.Time, j *jobState) rank {
+	q := p.queue(j.record.Queue)
+	if j.record.Spec.Persistent() {
+		return rank{tier: tierPersistent, priority: q.Priority, due: j.record.Accepted}
+	}
+	begin := j.record.Accepted
+	if len(j.occurrences) > 0 && j.occurrences[0].due.After(begin) {
+		begin = j.occurrences[0].due
+	}
+	objective := time.Duration(q.Stretch*float64(j.record.Spec.Chain())) + q.LatencyTarget
+	due := begin.Add(objective)
+	left := j.chainLeft()
+	switch {
+	case !now.Add(left).After(due):
+		return rank{tier: tierInTime, priority: q.Priority, due: due.Add(-left)}
+	case now.Before(begin.Add(lateFactor * objective)):
+		return rank{tier: tierLate, priority: q.Priority, due: due}
+	default:
+		return rank{tier: tierWorthless, priority: q.Priority, due: due}
+	}
+}
+
+// chainLeft estimates the longest chain of work that is not done.
+func (j *jobState) chainLeft() time.Duration {
+	var longest time.Duration
+	for _, o := range j.occurrences {
+		ends := make([]time.Duration, len(o.steps))
+		for s, step := range o.steps {
+			var begin time.Duration
+			for _, before := range step.spec.After {
+				begin = max(begin, ends[before])
+			}
+			ends[s] = begin
+			if step.remaining > 0 {
+				ends[s] += step.spec.EstimatedRuntime
+			}
+			longest = max(longest, ends[s])
+		}
+	}
+	return longest
+}
+
+func (p *Pool) usableRunners(now time.Time) []*runnerState {
+	var out []*runnerState
+	for _, r := range p.runners {
+		if r.usable(now) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *runnerState) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// placeStep starts the ready tasks of a step as far as there is room.
+func (p *Pool) placeStep(now time.Time, j *jobState, step *stepState, usable *[]*runnerState) {
+	if step.spec.Gang {
+		p.placeGang(now, step, *usable)
+		return
+	}
+	if !p.admitsStep(now, j, step) {
+		return
+	}
+	for i := range step.tasks {
+		t := &step.tasks[i]
+		if t.state != ready {
+			continue
+		}
+		r := p.choose(now, t, *usable)
+		if r == nil {
+			if step.spec.Persistent {
+				*usable = p.reserve(t, *usable)
+			}
+			return
+		}
+		p.start(now, t, r, t.run+1)
+	}
+}
+
+// reserve keeps the emptiest runner free for a persistent task that does not
+// fit anywhere yet.
+func (p *Pool) reserve(t *task, usable []*runnerState) []*runnerState {
+	var best *runnerState
+	for _, r := range usable {
+		if !r.Capacity.Fits(t.step.spec.Demand()) || !p.allowed(t, r) {
+			continue
+		}
+		if best == nil || r.free().Memory > best.free().Memory {
+			best = r
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(usable), func(r *runnerState) bool { return r == best })
+}
+
+// start orders a runner to run a task.
+func (p *Pool) start(now time.Time, t *task, r *runnerState, run int) {
+	t.step.ready--
+	t.state = starting
+	t.run = run
+	t.moved = now
+	r.assign(t)
+	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: run, What: "taskPlaced", Reason: "room", DataAge: now.Sub(r.answered)})
+	p.order(now, t)
+}
+
+// choose returns the runner that suits a task best, or nil if there is none.
+func (p *Pool) choose(now time.Time, t *task, usable []*runnerState) *runnerState {
+	var best *runnerState
+	var bestScore placementScore
+	for _, r := range usable {
+		if !r.free().Fits(t.step.spec.Demand()) || !p.allowed(t, r) || !p.ticketed(t, r, now) {
+			continue
+		}
+		s := p.score(t, r)
+		if best == nil || s.compare(bestScore) < 0 {
+			best, bestScore = r, s
+		}
+	}
+	return best
+}
+
+// allowed checks the conditions that a task makes beside its room.
+func (p *Pool) allowed(t *task, r *runnerState) bool {
+	spec := t.step.spec
+	if spec.Needs != "" && !r.hasLabel(spec.Needs) {
+		return false
+	}
+	if spec.MaxPerInstance > 0 && p.onRunner(t, r) >= spec.MaxPerInstance {
+		return false
+	}
+	return true
+}
+
+// onRunner counts the tasks of the same step on a runner.
+func (p *Pool) onRunner(t *task, r *runnerState) int {
+	n := 0
+	for _, other := range r.tasks {
+		if other.step == t.step {
+			n++
+		}
+	}
+	return n
+}
+
+// placementScore compares runners for a task; the lowest is the best.
+type placementScore struct {
+	failed  bool // the task has failed there
+	far     bool // data or siblings are on another rack
+	suspect int
+	cold    time.Duration
+	load    job.Milli // room left after placement
+}
+
+func (s placementScore) compare(o placementScore) int {
+	return cmp.Or(
+		compareBool(s.failed, o.failed),
+		cmp.Compare(s.suspect, o.suspect),
+		compareBool(s.far, o.far),
+		cmp.Compare(s.cold, o.cold),
+		cmp.Compare(s.load, o.load),
+	)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+func (p *Pool) score(t *task, r *runnerState) placementScore {
+	spec := t.step.spec
+	s := placementScore{
+		failed: t.avoid == r.ID, suspect: r.health.failures, cold: r.Cold,
+		load: r.free().CPU - spec.Demand().CPU,
+	}
+	if spec.DataRack != "" {
+		s.far = !r.hasLabel(spec.DataRack)
+	} else if spec.SameRack {
+		s.far = !p.sharesRack(t, r)
+	}
+	if spec.Persistent {
+		s.load = -s.load // spread: a lost runner takes few of them along
+	}
+	return s
+}
+
+// sharesRack reports whether no sibling of a task runs on another rack.
+func (p *Pool) sharesRack(t *task, r *runnerState) bool {
+	for i := range t.step.tasks {
+		if other := t.step.tasks[i].runner; other != nil && other.Rack() != r.Rack() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/pool/event.go
@@ -0,0 +1,182 @@
+package pool
+
+import (
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// Event is something that has happened.
+type Event interface {
+	apply(p *Pool, now time.Time)
+}
+
+// Ticked says that time has passed.
+type Ticked struct{}
+
+// QueuesChanged carries the settings of all queues.
+type QueuesChanged struct {
+	Queues map[job.QueueName]QueueSettings
+}
+
+// JobStored says that a job is accepted.
+type JobStored struct {
+	Record  *job.Record
+	Version RowVersion
+	// Progress is what a former owner has stored, if anything.
+	Progress        *job.Progress
+	ProgressVersion RowVersion
+	// Inherited is true if a former owner may have started some of its tasks.
+	Inherited bool
+}
+
+// JobsLoaded says that every stored job has been handed over.
+type JobsLoaded struct {
+	// Present names all stored jobs as of Version or later.
+	Present map[job.ID]bool
+	Version RowVersion
+}
+
+// JobEnded says that a job's outcome was stored by another process.
+type JobEnded struct {
+	ID      job.ID
+	Outcome job.Outcome
+}
+
+// JobSaved answers SaveJob and FinishJob.
+type JobSaved struct {
+	ID  job.ID
+	Seq uint64
+	// Version is the row version of the stored progress.
+	Version  RowVersion
+	Finished bool
+	// Failed is true if nothing is known to be stored.
+	Failed bool
+}
+
+// RunnersListed carries all registered runners of the pool.
+type RunnersListed struct {
+	Runners []Runner
+	// Stale is true if the list may lack runners that are alive.
+	Stale bool
+}
+
+// RunnerEnded says that a runner's life is surely over.
+type RunnerEnded struct {
+	Runner RunnerID
+}
+
+// Cordoned carries the runners that get no new tasks and are being emptied.
+type Cordoned struct {
+	Runners map[RunnerID]bool
+}
+
+// Call tells what is known of a call to a runner.
+type Call uint8
+
+// What is known of a call. The zero value is Unknown: it may have been carried
+// out, or may be yet.
+const (
+	Unknown Call = iota
+	Done
+	// RefusedFence means that another owner has a higher fencing token.
+	RefusedFence
+	// RefusedOld means that the run number is not higher than an earlier one.
+	RefusedOld
+	// RefusedLate means that the order's time was over.
+	RefusedLate
+	// RefusedRoom means that the runner lacks capacity.
+	RefusedRoom
+	// RefusedTicket means that the ticket is missing or no longer valid.
+	RefusedTicket
+	// RefusedUnhealthy means that the runner takes no orders for now.
+	RefusedUnhealthy
+	// RefusedOther means that the runner is another incarnation.
+	RefusedOther
+	// RefusedBad means that the runner did not understand the order.
+	RefusedBad
+)
+
+var callNames = [...]string{
+	"unknown", "done", "refusedFence", "refusedOld", "refusedLate", "refusedRoom",
+	"refusedTicket", "refusedUnhealthy", "refusedOther", "refusedBad",
+}
+
+// String returns the camel case name that logs use.
+func (c Call) String() string { return callNames[c] }
+
+// TaskStarted answers StartTask.
+type TaskStarted struct {
+	Runner RunnerID
+	Task   job.TaskID
+	Run    int
+	Call   Call
+	Clock  ClockReading
+}
+
+// TaskStopped answers StopTask.
+type TaskStopped struct {
+	Runner RunnerID
+	Task   job.TaskID
+	Run    int
+	Call   Call
+	Clock  ClockReading
+}
+
+// RunnerHeld answers HoldRunner.
+type RunnerHeld struct {
+	Runner RunnerID
+	Call   Call
+	// Sent is when the call was sent.
+	Sent  time.Time
+	Clock ClockReading
+	// Born tells lives of a runner with one id apart.
+	Born    time.Time
+	Running []RunningTask
+	Ended   []EndedTask
+}
+
+// RunningTask is a task that a runner lists as running.
+type RunningTask struct {
+	Task  job.TaskID
+	Run   int
+	Saved string
+	// Percent is 100 once the task is at work, for a persistent task.
+	Percent int
+	// Tail is a persistent task's tail of response times over the last half second.
+	Tail time.Duration
+}
+
+// EndedTask is the end of a run that a runner lists.
+type EndedTask struct {
+	// Number counts the ends of one life of the runner.
+	Number int64
+	Task   job.TaskID
+	Run    int
+	How    End
+	Saved  string
+}
+
+// End tells how a run ended.
+type End string
+
+// The ways in which a run ends.
+const (
+	EndDone    End = "done"
+	EndFailed  End = "failed"
+	EndStopped End = "stopped"
+	EndLapsed  End = "lapsed"
+	// EndBroken means that another member of the gang ended.
+	EndBroken End = "broken"
+	// EndAlone means that the other members of the gang did not come.
+	EndAlone End = "alone"
+)
+
+// Advised answers AskAdvice.
+type Advised struct {
+	Step string
+	// Tickets holds a ticket for each runner that may run the step.
+	Tickets map[RunnerID]string
+	Valid   time.Duration
+	Failed  bool
+}
--- /dev/null
+++ b/core/pool/health.go
@@ -0,0 +1,69 @@
+package pool
+
+import (
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// Blame of runners for failed tasks. It answers workers that fail all that they
+// start: each failure of such a worker frees its room at once, so that it draws
+// ever more tasks to itself.
+const (
+	// suspectAfter is the number of failures in a row after which a runner gets
+	// one task at a time.
+	suspectAfter = 2
+	// rejectAfter is the number of failures in a row, of more than one job, after
+	// which it gets none for a while.
+	rejectAfter = 3
+	// rejectTime is how long that is; it doubles up to maxRejectTime.
+	rejectTime    = 2 * time.Second
+	maxRejectTime = 8 * time.Second
+)
+
+// runnerHealth counts a runner's failures since its last success.
+type runnerHealth struct {
+	failures int
+	// jobs is the number of different jobs that failed in a row.
+	jobs     int
+	last     job.ID
+	rejected time.Time
+	pause    time.Duration
+}
+
+// succeed clears the blame.
+func (h *runnerHealth) succeed() { *h = runnerHealth{} }
+
+// fail notes a failed task.
+func (h *runnerHealth) fail(now time.Time, id job.ID) {
+	h.failures++
+	if h.last != id {
+		h.jobs++
+		h.last = id
+	}
+	if h.failures >= rejectAfter && h.jobs > 1 {
+		h.pause = min(max(2*h.pause, rejectTime), maxRejectTime)
+		h.rejected = now.Add(h.pause)
+	}
+}
+
+// admits reports whether the runner may get a task beside those it has.
+func (h *runnerHealth) admits(now time.Time, tasks int) bool {
+	if now.Before(h.rejected) {
+		return false
+	}
+	return h.failures < suspectAfter || tasks == 0
+}
+
+// noteRuntime learns how long the tasks of a step take.
+func (p *Pool) noteRuntime(now time.Time, r *runnerState, t *task, end EndedTask) {
+	if end.How != EndDone || t.confirmed.IsZero() || t.runner != r {
+		return
+	}
+	took := now.Sub(t.confirmed)
+	if t.step.runMean == 0 {
+		t.step.runMean = took
+		return
+	}
+	t.step.runMean = (t.step.runMean*3 + took) / 4
+}
--- /dev/null
+++ b/core/pool/order.go
@@ -0,0 +1,192 @@
+package pool
+
+import (
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// Delays of orders to runners.
+const (
+	// maxStartOrders is how often a start without an answer is sent to one runner.
+	maxStartOrders = 2
+	// stopRetry is the pause between stops without an answer.
+	stopRetry = 300 * time.Millisecond
+	// unhealthyPause keeps new tasks off a runner that refused an order.
+	unhealthyPause = 400 * time.Millisecond
+)
+
+// order sends a start to the task's runner.
+func (p *Pool) order(now time.Time, t *task) {
+	r := t.runner
+	t.inFlight = true
+	t.ordered = now
+	t.orders++
+	window := p.options.StartWindow
+	t.voidAfter = now.Add(leaseBound(window))
+	p.emit(&StartTask{
+		Runner: r.Runner, Task: t.id, Run: t.run, Payload: t.job.record.Spec.Payload,
+		Saved: t.saved, Ticket: p.ticket(t.id.StepKey(), r.ID, now),
+		Until: r.grant(now, window), Fence: p.options.Fence,
+	})
+}
+
+// stopTask ends a task that occupies a runner; others are left as they are.
+func (p *Pool) stopTask(now time.Time, t *task, reason string) {
+	if t.runner == nil || t.state == stopping {
+		return
+	}
+	if t.state != done {
+		t.state = stopping
+	}
+	t.orders = 0
+	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: t.runner.ID, Run: t.run, What: "taskStopped", Reason: reason})
+	if t.state == stopping && !t.inFlight {
+		p.orderStop(now, t)
+	}
+}
+
+func (p *Pool) orderStop(now time.Time, t *task) {
+	t.inFlight = true
+	t.ordered = now
+	t.orders++
+	p.emit(&StopTask{Runner: t.runner.Runner, Task: t.id, Run: t.run, Fence: p.options.Fence})
+}
+
+// apply implements Event.
+func (e *TaskStarted) apply(p *Pool, now time.Time) {
+	r := p.runners[e.Runner]
+	if r == nil {
+		return
+	}
+	p.noteCall(now, r, e.Call, e.Clock)
+	t := r.tasks[e.Task]
+	if t == nil || t.run != e.Run || !t.inFlight {
+		return
+	}
+	t.inFlight = false
+	switch {
+	case t.state == stopping:
+		if e.Call == Done || e.Call == Unknown {
+			p.orderStop(now, t)
+			return
+		}
+		p.freeTask(now, t)
+	case e.Call == Done:
+		t.state = running
+		t.confirmed, t.moved = now, now
+		t.job.begun = true
+		r.holdNext = now
+	case e.Call == Unknown && t.orders < maxStartOrders && r.missing.IsZero():
+		p.order(now, t)
+	case e.Call == Unknown:
+		t.state = stopping
+		t.orders = 0
+		p.orderStop(now, t)
+	default:
+		p.refused(now, r, t, e.Call)
+	}
+}
+
+// refused handles a start that surely did not take effect.
+func (p *Pool) refused(now time.Time, r *runnerState, t *task, call Call) {
+	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "startRefused", Reason: call.String(), DataAge: now.Sub(t.ordered)})
+	switch call {
+	case RefusedUnhealthy, RefusedBad:
+		r.avoidUntil = now.Add(unhealthyPause)
+	case RefusedRoom, RefusedLate, RefusedOther:
+		r.avoidUntil = now.Add(unhealthyPause / 4)
+		r.holdNext = now
+	case RefusedTicket:
+		p.dropTickets(t.id.StepKey())
+	}
+	p.makeReady(t)
+}
+
+// apply implements Event.
+func (e *TaskStopped) apply(p *Pool, now time.Time) {
+	r := p.runners[e.Runner]
+	if r == nil {
+		return
+	}
+	p.noteCall(now, r, e.Call, e.Clock)
+	if _, ok := r.strangers[e.Task]; ok {
+		r.holdNext = now
+		return
+	}
+	t := r.tasks[e.Task]
+	if t == nil || t.run != e.Run || t.state != stopping {
+		return
+	}
+	t.inFlight = false
+	if e.Call == Done {
+		t.stopped = now
+		r.holdNext = now
+	}
+}
+
+// noteCall updates what is known of a runner from the answer to any call.
+func (p *Pool) noteCall(now time.Time, r *runnerState, call Call, clock ClockReading) {
+	if call == Unknown {
+		r.failedCalls++
+		return
+	}
+	if call == RefusedFence {
+		p.depose("runner " + string(r.ID) + " has seen a higher fencing token")
+		return
+	}
+	r.failedCalls = 0
+	r.answered = now
+	r.readClock(clock)
+}
+
+// freeTask takes a task off its runner after it has ended or was never begun.
+func (p *Pool) freeTask(now time.Time, t *task) {
+	r := t.runner
+	if t.job.outcome != "" {
+		if t.state != done {
+			t.state = waiting
+		}
+		r.release(t)
+		p.forget(t.job)
+		p.changed = true
+		return
+	}
+	p.makeReady(t)
+}
+
+// resolveOrders sends stops without an answer again.
+func (p *Pool) resolveOrders(now time.Time) {
+	for _, r := range p.runners {
+		for _, t := range r.tasks {
+			if t.state != stopping || t.inFlight {
+				continue
+			}
+			if t.stopped.IsZero() && now.Sub(t.ordered) > stopRetry {
+				p.orderStop(now, t)
+			}
+		}
+	}
+}
+
+// loseTasks frees the tasks of a runner that surely no longer run.
+func (p *Pool) loseTasks(now time.Time, r *runnerState, reason string, lost func(*task) bool) {
+	for _, t := range r.tasks {
+		if !lost(t) {
+			continue
+		}
+		p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "taskLost", Reason: reason, DataAge: now.Sub(r.answered)})
+		if t.state == done {
+			r.release(t)
+			p.finishIfDone(now, t.job)
+			p.forget(t.job)
+			continue
+		}
+		p.freeTask(now, t)
+	}
+}
+
+// failJob fails a job whose task has used all attempts.
+func (p *Pool) failJob(now time.Time, t *task) {
+	p.conclude(now, t.job, job.Failed, "task "+t.id.String()+" used all attempts")
+}
--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,192 @@
+// Package pool schedules the jobs of one pool of instances. It has no I/O: a
+// Pool takes events and returns effects as data.
+//
+// One entry at a time owns a pool. Orders to runners carry the owner's fencing
+// token, and everything that runs does so under a lease, so that a former owner
+// and an unreachable runner do no harm.
+//
+// # Usage
+//
+//	p := pool.New(pool.Options{Pool: "booking", Fence: 41, Epoch: 2, Loading: true}, now)
+//	for event := range events {
+//		for _, effect := range p.Reduce(time.Now(), event) {
+//			perform(effect)
+//		}
+//	}
+package pool
+
+import (
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// Fence is a fencing token. A runner obeys no order with a lower one than it has seen.
+type Fence uint64
+
+// RowVersion numbers the writes of a stored row; 0 means that there is none.
+type RowVersion uint64
+
+// runsPerEpoch separates the run numbers of successive owners.
+const runsPerEpoch = 10_000
+
+// Options are the settings of a Pool. Zero durations take the defaults.
+type Options struct {
+	Pool  job.PoolName
+	Fence Fence
+	// Epoch counts the owners that the pool has had, this one included.
+	Epoch int
+	// Loading is true if stored jobs are still to be handed over with JobStored.
+	Loading bool
+	// Lease is how long a runner may go on without hearing from the owner.
+	Lease time.Duration
+	// StartWindow is how long a start order is valid.
+	StartWindow time.Duration
+	// StopTime is the longest that a runner takes to stop a task.
+	StopTime time.Duration
+	// PaceTime is how soon a change of pace takes effect.
+	PaceTime time.Duration
+}
+
+// Defaults of the options.
+const (
+	// DefaultLease outlasts a change of owner, which takes about 3 s.
+	DefaultLease = 5 * time.Second
+	// DefaultStartWindow bounds how long a lost start order blocks its task.
+	DefaultStartWindow = 2 * time.Second
+	// DefaultStopTime is the longest of the known platforms.
+	DefaultStopTime = 1 * time.Second
+	// DefaultPaceTime is that of the known platforms.
+	DefaultPaceTime = 100 * time.Millisecond
+)
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Lease, DefaultLease)
+	setDefault(&o.StartWindow, DefaultStartWindow)
+	setDefault(&o.StopTime, DefaultStopTime)
+	setDefault(&o.PaceTime, DefaultPaceTime)
+	o.StartWindow = min(o.StartWindow, o.Lease)
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// QueueSettings are the operator's settings of a queue.
+type QueueSettings struct {
+	// Priority is 0 for the most urgent queue.
+	Priority int
+	// MaxAttempts bounds the failed runs of a task.
+	MaxAttempts int
+	// Stretch times a job's longest chain of work, plus LatencyTarget, is its objective.
+	Stretch       float64
+	LatencyTarget time.Duration
+	// Advised queues need a ticket for each runner.
+	Advised bool
+}
+
+// defaultAttempts applies to queues whose settings are not known.
+const defaultAttempts = 3
+
+// Pool is the reducer of one pool of instances. Use New.
+type Pool struct {
+	options Options
+	// since is when this owner took over.
+	since   time.Time
+	loading bool
+	queues  map[job.QueueName]QueueSettings
+	jobs    map[job.ID]*jobState
+	// ended keeps the outcomes of jobs for as long as callers may ask.
+	ended   map[job.ID]job.Outcome
+	runners map[RunnerID]*runnerState
+	tickets map[string]*stepTickets
+	listed  bool
+
+	deposed bool
+	// changed is true if a task may have become placeable since the last dispatch.
+	changed bool
+	effects []Effect
+}
+
+// New returns a pool that this entry has just become the owner of.
+func New(options Options, now time.Time) *Pool {
+	options.setDefaults()
+	return &Pool{
+		options: options,
+		since:   now,
+		loading: options.Loading,
+		queues:  map[job.QueueName]QueueSettings{},
+		jobs:    map[job.ID]*jobState{},
+		ended:   map[job.ID]job.Outcome{},
+		runners: map[RunnerID]*runnerState{},
+		tickets: map[string]*stepTickets{},
+	}
+}
+
+// Reduce applies an event and returns what is to be done. The result is valid
+// until the next call.
+func (p *Pool) Reduce(now time.Time, event Event) []Effect {
+	clear(p.effects)
+	p.effects = p.effects[:0]
+	event.apply(p, now)
+	if p.deposed {
+		return p.effects
+	}
+	if p.changed {
+		p.changed = false
+		p.dispatch(now)
+	}
+	p.holdRunners(now)
+	p.saveJobs(now)
+	return p.effects
+}
+
+func (p *Pool) emit(e Effect) { p.effects = append(p.effects, e) }
+
+// depose ends this ownership after a runner has seen a higher fencing token.
+func (p *Pool) depose(reason string) {
+	if !p.deposed {
+		p.deposed = true
+		p.emit(&StepDown{Reason: reason})
+	}
+}
+
+func (p *Pool) queue(name job.QueueName) QueueSettings {
+	q, ok := p.queues[name]
+	if !ok || q.MaxAttempts == 0 {
+		q.MaxAttempts = defaultAttempts
+	}
+	return q
+}
+
+// recovered reports whether nothing that a former owner started can still be
+// unknown: every runner was heard, or all leases that it gave have run out.
+func (p *Pool) recovered(now time.Time) bool {
+	if p.loading || !p.listed {
+		return false
+	}
+	if p.options.Epoch <= 1 || now.Sub(p.since) > leaseBound(p.options.Lease) {
+		return true
+	}
+	for _, r := range p.runners {
+		if !r.resolved {
+			return false
+		}
+	}
+	return true
+}
+
+// Bounds of a runner's steady clock against the owner's.
+const (
+	// clockDrift is how much slower than true time a runner's clock may be.
+	clockDrift = 0.02
+	// clockSlack covers the granularity of clocks and timers.
+	clockSlack = 100 * time.Millisecond
+)
+
+// leaseBound returns after how long a lease that was granted now has surely ended.
+func leaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-clockDrift)) + clockSlack
+}
--- /dev/null
+++ b/core/pool/runner.go
@@ -0,0 +1,236 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// RunnerID names one registration of a runner.
+type RunnerID string
+
+// RunnerClock is a reading of a runner's steady clock.
+type RunnerClock time.Duration
+
+// Runner is a runner as it has registered itself.
+type Runner struct {
+	ID       RunnerID
+	Address  string
+	Zone     string
+	Labels   []string
+	Capacity job.Resources
+	Draining bool
+	// Cold is how much longer the runner is slow after its start.
+	Cold time.Duration
+	// Born is when this life of the runner began, if it says so.
+	Born time.Time
+}
+
+// Rack returns the runner's rack, which is the last of its labels.
+func (r *Runner) Rack() string {
+	if len(r.Labels) == 0 {
+		return ""
+	}
+	return r.Labels[len(r.Labels)-1]
+}
+
+// ClockReading is a runner's clock as read at a local time, no later than the
+// runner's own reading.
+type ClockReading struct {
+	Clock RunnerClock
+	At    time.Time
+}
+
+// unacknowledged is an end that the runner still lists.
+type unacknowledged struct {
+	number int64
+	job    *jobState
+	// seq is the change of the job that must be stored first; 0 for none.
+	seq uint64
+}
+
+// runnerState is what the owner knows of a runner.
+type runnerState struct {
+	Runner
+	// resolved is true once the runner has answered to this owner's fencing token.
+	resolved bool
+	born     time.Time
+	clock    ClockReading
+	// leaseEnds is when everything that runs there has surely ended.
+	leaseEnds time.Time
+	tasks     map[job.TaskID]*task
+	used      job.Resources
+	// strangers are listed tasks that this owner did not start and is ending.
+	strangers map[job.TaskID]int
+	ends      []unacknowledged
+	// seen is the highest end that was handled, acked the highest that was acknowledged.
+	seen, acked int64
+
+	holding  bool
+	holdNext time.Time
+	// failedCalls counts calls without an answer since the last answer.
+	failedCalls int
+	answered    time.Time
+	missing     time.Time
+	cordoned    bool
+	avoidUntil  time.Time
+	health      runnerHealth
+}
+
+func newRunnerState(r Runner) *runnerState {
+	return &runnerState{Runner: r, tasks: map[job.TaskID]*task{}, strangers: map[job.TaskID]int{}}
+}
+
+// clockAt estimates the runner's clock at a local time, never ahead of it by
+// more than the drift since the last reading.
+func (r *runnerState) clockAt(now time.Time) RunnerClock {
+	return r.clock.Clock + RunnerClock(now.Sub(r.clock.At))
+}
+
+// grant returns the end of a lease on the runner's clock and notes it.
+func (r *runnerState) grant(now time.Time, lease time.Duration) RunnerClock {
+	if ends := now.Add(leaseBound(lease)); ends.After(r.leaseEnds) {
+		r.leaseEnds = ends
+	}
+	return r.clockAt(now) + RunnerClock(lease)
+}
+
+func (r *runnerState) readClock(c ClockReading) {
+	if c.Clock > 0 {
+		r.clock = c
+	}
+}
+
+func (r *runnerState) free() job.Resources { return r.Capacity.Sub(r.used) }
+
+// usable reports whether new tasks may be placed on the runner.
+func (r *runnerState) usable(now time.Time) bool {
+	return r.resolved && !r.Draining && !r.cordoned && r.missing.IsZero() &&
+		r.failedCalls == 0 && len(r.strangers) == 0 &&
+		!now.Before(r.avoidUntil) && r.health.admits(now, r.countTrials())
+}
+
+// countTrials counts the tasks that end by themselves.
+func (r *runnerState) countTrials() int {
+	n := 0
+	for _, t := range r.tasks {
+		if !t.step.spec.Persistent {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *runnerState) hasLabel(label string) bool { return slices.Contains(r.Labels, label) }
+
+// release takes a task off the runner.
+func (r *runnerState) release(t *task) {
+	if r.tasks[t.id] != t {
+		return
+	}
+	delete(r.tasks, t.id)
+	r.used = r.used.Sub(t.step.spec.Demand())
+	t.runner = nil
+}
+
+// assign puts a task on the runner.
+func (r *runnerState) assign(t *task) {
+	r.tasks[t.id] = t
+	r.used = r.used.Add(t.step.spec.Demand())
+	t.runner = r
+}
+
+// acknowledge returns the highest end up to which all are stored.
+func (r *runnerState) acknowledge() int64 {
+	n := 0
+	for _, e := range r.ends {
+		if e.seq > 0 && e.job.savedSeq < e.seq && !e.job.closed {
+			break
+		}
+		r.acked = e.number
+		n++
+	}
+	r.ends = r.ends[n:]
+	return r.acked
+}
+
+// ackable reports whether the runner lists an end that it may forget.
+func (r *runnerState) ackable() bool {
+	if len(r.ends) == 0 {
+		return false
+	}
+	e := r.ends[0]
+	return e.seq == 0 || e.job.savedSeq >= e.seq || e.job.closed
+}
+
+// apply implements Event.
+func (e *RunnersListed) apply(p *Pool, now time.Time) {
+	p.listed = true
+	p.changed = true
+	present := make(map[RunnerID]bool, len(e.Runners))
+	for _, listed := range e.Runners {
+		present[listed.ID] = true
+		p.updateRunner(listed)
+	}
+	for id, r := range p.runners {
+		if present[id] || e.Stale {
+			continue
+		}
+		if r.missing.IsZero() {
+			r.missing = now
+		}
+		if len(r.tasks) == 0 && len(r.strangers) == 0 && !r.holding && now.After(r.leaseEnds) {
+			delete(p.runners, id)
+		}
+	}
+}
+
+func (p *Pool) updateRunner(listed Runner) {
+	r := p.runners[listed.ID]
+	if r == nil {
+		r = newRunnerState(listed)
+		p.runners[listed.ID] = r
+		return
+	}
+	r.Runner = listed
+	r.missing = time.Time{}
+}
+
+// apply implements Event.
+func (e *RunnerEnded) apply(p *Pool, now time.Time) {
+	r := p.runners[e.Runner]
+	if r == nil {
+		return
+	}
+	p.loseTasks(now, r, "runnerEnded", func(*task) bool { return true })
+	clear(r.strangers)
+	delete(p.runners, e.Runner)
+}
+
+// apply implements Event.
+func (e *Cordoned) apply(p *Pool, _ time.Time) {
+	for id, r := range p.runners {
+		if r.cordoned != e.Runners[id] {
+			r.cordoned = e.Runners[id]
+			p.changed = true
+		}
+	}
+}
+
+// apply implements Event.
+func (Ticked) apply(p *Pool, now time.Time) {
+	p.changed = true
+	for id, r := range p.runners {
+		if len(r.tasks) > 0 && now.After(r.leaseEnds) {
+			p.loseTasks(now, r, "leaseExpired", func(*task) bool { return true })
+		}
+		if now.After(r.leaseEnds) && !r.missing.IsZero() && !r.holding {
+			delete(p.runners, id)
+		}
+	}
+	p.resolveOrders(now)
+	p.evacuate(now)
+	p.pace(now)
+	p.activate(now)
+}
--- /dev/null
+++ b/io/owner/server.go
@@ -0,0 +1,99 @@
+package owner
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/io/owner/ownerpb"
+)
+
+// server answers calls of peers.
+type server struct {
+	ownerpb.UnimplementedOwnerServer
+	handler Handler
+}
+
+func statusOf(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrNotOwner):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	default:
+		return status.Error(codes.Internal, err.Error())
+	}
+}
+
+// Submit implements ownerpb.OwnerServer.
+func (s *server) Submit(ctx context.Context, in *ownerpb.SubmitRequest) (*ownerpb.SubmitReply, error) {
+	err := s.handler.TakeJob(ctx, job.PoolName(in.GetPool()), in.GetRecord(), in.GetVersion())
+	return &ownerpb.SubmitReply{}, statusOf(err)
+}
+
+// State implements ownerpb.OwnerServer.
+func (s *server) State(ctx context.Context, in *ownerpb.StateRequest) (*ownerpb.StateReply, error) {
+	state, err := s.handler.TellState(ctx, job.PoolName(in.GetPool()), job.ID(in.GetJob()))
+	return &ownerpb.StateReply{State: string(state)}, statusOf(err)
+}
+
+// Waiting implements ownerpb.OwnerServer.
+func (s *server) Waiting(ctx context.Context, in *ownerpb.WaitingRequest) (*ownerpb.WaitingReply, error) {
+	n, err := s.handler.TellWaiting(ctx, job.PoolName(in.GetPool()), job.QueueName(in.GetQueue()))
+	return &ownerpb.WaitingReply{Count: int64(n)}, statusOf(err)
+}
+
+// Sync implements ownerpb.OwnerServer.
+func (s *server) Sync(ctx context.Context, in *ownerpb.SyncRequest) (*ownerpb.SyncReply, error) {
+	cordoned := make([]pool.RunnerID, 0, len(in.GetCordoned()))
+	for _, id := range in.GetCordoned() {
+		cordoned = append(cordoned, pool.RunnerID(id))
+	}
+	report, err := s.handler.SyncPool(ctx, job.PoolName(in.GetPool()), cordoned)
+	return encodeReport(&report), statusOf(err)
+}
+
+// EndRunner implements ownerpb.OwnerServer.
+func (s *server) EndRunner(ctx context.Context, in *ownerpb.EndRunnerRequest) (*ownerpb.EndRunnerReply, error) {
+	err := s.handler.EndRunner(ctx, job.PoolName(in.GetPool()), pool.RunnerID(in.GetRunner()))
+	return &ownerpb.EndRunnerReply{}, statusOf(err)
+}
+
+// StoreAge implements ownerpb.OwnerServer.
+func (s *server) StoreAge(context.Context, *ownerpb.StoreAgeRequest) (*ownerpb.StoreAgeReply, error) {
+	return &ownerpb.StoreAgeReply{AgeMilliseconds: s.handler.StoreAge().Milliseconds()}, nil
+}
+
+func encodeReport(r *pool.Report) *ownerpb.SyncReply {
+	reply := &ownerpb.SyncReply{
+		RunningCpu: int64(r.Running), ReadyCpu: int64(r.Ready), Recovered: r.Recovered,
+	}
+	for _, line := range r.Runners {
+		reply.Runners = append(reply.Runners, &ownerpb.SyncReply_Runner{
+			Id: string(line.Runner), Persistent: int64(line.Persistent), Passing: int64(line.Passing),
+			UsedCpu: int64(line.Used.CPU), UsedMemory: int64(line.Used.Memory), CapacityCpu: int64(line.Capacity.CPU),
+			Cordoned: line.Cordoned, Usable: line.Usable,
+		})
+	}
+	return reply
+}
+
+func decodeReport(name job.PoolName, reply *ownerpb.SyncReply) pool.Report {
+	r := pool.Report{
+		Pool: name, Running: job.Milli(reply.GetRunningCpu()), Ready: job.Milli(reply.GetReadyCpu()),
+		Recovered: reply.GetRecovered(),
+	}
+	for _, line := range reply.GetRunners() {
+		r.Runners = append(r.Runners, pool.RunnerReport{
+			Runner: pool.RunnerID(line.GetId()), Persistent: int(line.GetPersistent()), Passing: int(line.GetPassing()),
+			Used:     job.Resources{CPU: job.Milli(line.GetUsedCpu()), Memory: job.MiB(line.GetUsedMemory())},
+			Capacity: job.Resources{CPU: job.Milli(line.GetCapacityCpu())},
+			Cordoned: line.GetCordoned(), Usable: line.GetUsable(),
+		})
+	}
+	return r
+}
--- /dev/null
+++ b/manager/claims.go
@@ -0,0 +1,266 @@
+package manager
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/ownership"
+	"bronzestair/core/table"
+)
+
+// Timing of claims in the store.
+const (
+	// claimInterval is how often claims are read, and renewals looked for.
+	claimInterval = 300 * time.Millisecond
+	// claimReads is how many intervals pass between two reads of all claims.
+	claimReads = 2
+	// outageAge is how old the store's last answer must be for an outage.
+	outageAge = 900 * time.Millisecond
+)
+
+const claimTable = "claims"
+
+func newIncarnation() string {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err) // the system's random source never fails
+	}
+	return hex.EncodeToString(b[:])
+}
+
+func claimKey(shard ownership.Shard) table.Key {
+	return table.Key{Table: claimTable, Name: string(shard)}
+}
+
+// claim keeps this entry's claims and takes free shards over.
+func (m *Manager) claim(ctx context.Context) {
+	ticker := time.NewTicker(claimInterval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		if n%claimReads == 0 {
+			m.readClaims(ctx)
+		}
+		m.writeClaims(ctx)
+		m.extendInOutage(ctx)
+		m.dropInvalid()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// readClaims brings the tracker up to date.
+func (m *Manager) readClaims(ctx context.Context) {
+	page, err := m.store.Rows(ctx, claimTable, "", "", "")
+	if err != nil {
+		m.logger.Warn("claims are not read", "error", err)
+		return
+	}
+	var rows []ownership.Row
+	for _, row := range page.Rows {
+		var claim ownership.Claim
+		if err := json.Unmarshal(row.Value, &claim); err != nil {
+			m.logger.Error("claim is broken", "shard", row.Name, "error", err)
+			continue
+		}
+		rows = append(rows, ownership.Row{
+			Shard: ownership.Shard(row.Name), Claim: claim, Version: ownership.Version(row.Version),
+		})
+	}
+	m.mu.Lock()
+	lost := m.tracker.Observe(time.Now(), rows)
+	m.mu.Unlock()
+	for _, shard := range lost {
+		m.endShard(shard, "another entry has claimed it")
+	}
+}
+
+// shards returns what there is to own.
+func (m *Manager) shards() []ownership.Shard {
+	c := m.catalog.Get()
+	if c == nil {
+		return nil
+	}
+	shards := []ownership.Shard{fleetShard}
+	for _, p := range c.Pools {
+		shards = append(shards, poolShard(p.Name))
+	}
+	return shards
+}
+
+// writeClaims renews all claims with one transaction and takes shards over one by one.
+func (m *Manager) writeClaims(ctx context.Context) {
+	shards := m.shards()
+	m.mu.Lock()
+	writes := m.tracker.Plan(time.Now(), shards)
+	m.mu.Unlock()
+	var renewals []ownership.Write
+	for _, w := range writes {
+		if !w.Begins {
+			renewals = append(renewals, w)
+		}
+	}
+	if len(renewals) > 0 {
+		m.renew(ctx, renewals)
+	}
+	for _, w := range writes {
+		if w.Begins {
+			m.takeOver(ctx, w)
+			return // the delay for the next one depends on this one
+		}
+	}
+}
+
+func (m *Manager) renew(ctx context.Context, writes []ownership.Write) {
+	sent := time.Now()
+	var tx table.Tx
+	for _, w := range writes {
+		if err := addClaim(&tx, w); err != nil {
+			m.logger.Error("claim cannot be encoded", "shard", w.Shard, "error", err)
+			return
+		}
+	}
+	version, err := m.store.Commit(ctx, &tx)
+	var conflict *table.Conflict
+	switch {
+	case err == nil:
+		m.mu.Lock()
+		for _, w := range writes {
+			m.tracker.Written(sent, w, ownership.Version(version))
+		}
+		m.mu.Unlock()
+	case errors.As(err, &conflict):
+		m.logger.Warn("claims have changed", "count", len(writes))
+		m.readClaims(ctx)
+	default:
+		m.logger.Warn("claims are not renewed", "count", len(writes), "error", err)
+	}
+}
+
+func addClaim(tx *table.Tx, w ownership.Write) error {
+	value, err := json.Marshal(w.Claim)
+	if err != nil {
+		return err
+	}
+	tx.Expect(claimKey(w.Shard), table.Version(w.Expect))
+	tx.Put(claimKey(w.Shard), value)
+	return nil
+}
+
+// writeClaim stores one claim.
+func (m *Manager) writeClaim(ctx context.Context, w ownership.Write) error {
+	var tx table.Tx
+	if err := addClaim(&tx, w); err != nil {
+		return err
+	}
+	_, err := m.store.Commit(ctx, &tx)
+	return err
+}
+
+func (m *Manager) takeOver(ctx context.Context, w ownership.Write) {
+	sent := time.Now()
+	var tx table.Tx
+	if err := addClaim(&tx, w); err != nil {
+		m.logger.Error("claim cannot be encoded", "shard", w.Shard, "error", err)
+		return
+	}
+	version, err := m.store.Commit(ctx, &tx)
+	if err != nil {
+		m.logger.Info("shard is not taken over", "shard", w.Shard, "error", err)
+		return
+	}
+	m.mu.Lock()
+	tenure, _ := m.tracker.Written(sent, w, ownership.Version(version))
+	m.mu.Unlock()
+	m.logger.Info("shard taken over", "shard", w.Shard, "epoch", tenure.Epoch, "fence", tenure.Fence, "previous", tenure.Previous)
+	m.beginShard(ctx, tenure)
+}
+
+// extendInOutage keeps ownerships through an outage of the store, if the peers
+// that answer have not heard from it either: then nobody can take over.
+func (m *Manager) extendInOutage(ctx context.Context) {
+	m.mu.Lock()
+	oldest, any := m.tracker.Oldest()
+	peers := m.tracker.Peers()
+	m.mu.Unlock()
+	asked := time.Now()
+	if !any || asked.Sub(oldest) < outageAge || asked.Sub(m.store.Answered()) < outageAge || len(peers) == 0 {
+		return
+	}
+	if age, ok := m.peers.StoreAge(ctx, peers); ok && age > outageAge {
+		m.mu.Lock()
+		m.tracker.Extend(asked)
+		m.mu.Unlock()
+	}
+}
+
+// dropInvalid ends the work of shards whose claim can no longer be trusted for long.
+func (m *Manager) dropInvalid() {
+	now := time.Now()
+	m.mu.Lock()
+	var ended []ownership.Shard
+	for name := range m.pools {
+		if !m.tracker.Held(now, poolShard(name)) {
+			ended = append(ended, poolShard(name))
+		}
+	}
+	if m.fleet != nil && !m.tracker.Held(now, fleetShard) {
+		ended = append(ended, fleetShard)
+	}
+	m.mu.Unlock()
+	for _, shard := range ended {
+		m.endShard(shard, "claim not renewed in time")
+	}
+}
+
+// beginShard starts the work of a shard.
+func (m *Manager) beginShard(ctx context.Context, tenure ownership.Tenure) {
+	ctx, cancel := context.WithCancel(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if tenure.Shard == fleetShard {
+		m.fleet = newFleetOwner(m, tenure, cancel)
+		m.group.Go(func() error { m.fleet.run(ctx); return nil })
+		return
+	}
+	name := job.PoolName(strings.TrimPrefix(string(tenure.Shard), "pool/"))
+	o := newPoolOwner(m, name, tenure, cancel)
+	m.pools[name] = o
+	m.group.Go(func() error { o.run(ctx); return nil })
+}
+
+// endShard stops the work of a shard.
+func (m *Manager) endShard(shard ownership.Shard, reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.Drop(shard)
+	if shard == fleetShard {
+		if m.fleet != nil {
+			m.fleet.cancel()
+			m.fleet = nil
+			m.logger.Warn("shard lost", "shard", shard, "reason", reason)
+		}
+		return
+	}
+	name := job.PoolName(strings.TrimPrefix(string(shard), "pool/"))
+	if o := m.pools[name]; o != nil {
+		o.cancel()
+		delete(m.pools, name)
+		m.logger.Warn("shard lost", "shard", shard, "reason", reason)
+	}
+}
+
+// valid reports whether orders may be given for a shard now.
+func (m *Manager) valid(shard ownership.Shard) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Valid(time.Now(), shard)
+}
--- /dev/null
+++ b/manager/fleet.go
@@ -0,0 +1,298 @@
+package manager
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/maintenance"
+	"bronzestair/core/ownership"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+)
+
+const (
+	// planInterval is how often the plan is looked at and pools are asked.
+	planInterval = 250 * time.Millisecond
+	// syncTimeout bounds a question to the owner of a pool.
+	syncTimeout = 400 * time.Millisecond
+	// DefaultHolderPause separates the orders of two owners for one instance.
+	DefaultHolderPause = 3 * time.Second
+)
+
+// waveTable holds which instances of a wave have begun their upkeep.
+const waveTable = "waves"
+
+// waveRecord is the stored form of a wave's progress.
+type waveRecord struct {
+	Begun []maintenance.InstanceID `json:"begun"`
+}
+
+// fleetOwner runs the planner of the fleet's maintenance.
+type fleetOwner struct {
+	m       *Manager
+	tenure  ownership.Tenure
+	cancel  context.CancelFunc
+	inbox   chan maintenance.Event
+	done    chan struct{}
+	rows    chan table.Row
+	known   map[maintenance.WaveNumber]bool
+	begun   map[maintenance.WaveNumber]waveRecord
+	version int64
+}
+
+func newFleetOwner(m *Manager, tenure ownership.Tenure, cancel context.CancelFunc) *fleetOwner {
+	return &fleetOwner{
+		m: m, tenure: tenure, cancel: cancel,
+		inbox: make(chan maintenance.Event, inboxSize), done: make(chan struct{}),
+		rows:  make(chan table.Row, inboxSize),
+		known: map[maintenance.WaveNumber]bool{},
+	}
+}
+
+func (f *fleetOwner) submit(e maintenance.Event) {
+	select {
+	case f.inbox <- e:
+	case <-f.done:
+	}
+}
+
+// run plans until the context ends.
+func (f *fleetOwner) run(ctx context.Context) {
+	defer close(f.done)
+	options := maintenance.Options{UpkeepTime: f.m.options.UpkeepTime, MoveTime: f.m.options.MoveTime}
+	if f.tenure.Previous != "" {
+		pause := f.m.options.HolderPause
+		if pause == 0 {
+			pause = DefaultHolderPause
+		}
+		options.OrdersAfter = time.Now().Add(pause)
+	}
+	planner := maintenance.New(options)
+	f.begun = f.loadWaves(ctx)
+	go f.store(ctx)
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-f.inbox:
+			f.reduce(ctx, planner, e)
+		case <-ticker.C:
+			f.refresh(ctx, planner)
+			f.reduce(ctx, planner, maintenance.Ticked{})
+			f.sync(ctx, planner.Cordons())
+		}
+	}
+}
+
+// loadWaves reads what former owners have reached.
+func (f *fleetOwner) loadWaves(ctx context.Context) map[maintenance.WaveNumber]waveRecord {
+	out := map[maintenance.WaveNumber]waveRecord{}
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		rows, _, err := f.m.readPart(ctx, waveTable, "")
+		if err != nil {
+			f.m.logger.Warn("waves are not loaded", "error", err)
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		for _, row := range rows {
+			var number maintenance.WaveNumber
+			var record waveRecord
+			if err := json.Unmarshal([]byte(row.Name), &number); err != nil {
+				f.m.logger.Error("wave is broken", "row", row.Name, "error", err)
+				continue
+			}
+			if err := json.Unmarshal(row.Value, &record); err != nil {
+				f.m.logger.Error("wave is broken", "row", row.Name, "error", err)
+				continue
+			}
+			out[number] = record
+		}
+		break
+	}
+	return out
+}
+
+// refresh hands over new waves and settings.
+func (f *fleetOwner) refresh(ctx context.Context, planner *maintenance.Planner) {
+	if c := f.m.catalog.Get(); c != nil && int64(c.Version) != f.version {
+		f.version = int64(c.Version)
+		event := &maintenance.PoolsChanged{}
+		for _, p := range c.Pools {
+			event.Pools = append(event.Pools, maintenance.PoolSettings{Name: p.Name, Spare: p.Spare})
+		}
+		f.reduce(ctx, planner, event)
+	}
+	f.m.mu.Lock()
+	var seen []maintenance.Wave
+	for number, wave := range f.m.waves {
+		if !f.known[number] {
+			f.known[number] = true
+			seen = append(seen, wave)
+		}
+	}
+	f.m.mu.Unlock()
+	for _, wave := range seen {
+		record := f.begun[wave.Number]
+		f.reduce(ctx, planner, &maintenance.WaveSeen{Wave: wave, Begun: record.Begun})
+	}
+}
+
+func (f *fleetOwner) reduce(ctx context.Context, planner *maintenance.Planner, e maintenance.Event) {
+	for _, effect := range planner.Reduce(time.Now(), e) {
+		f.perform(ctx, effect)
+	}
+}
+
+// sync tells the owners of pools which runners to empty, and asks for their load.
+func (f *fleetOwner) sync(ctx context.Context, cordons map[job.PoolName][]pool.RunnerID) {
+	c := f.m.catalog.Get()
+	if c == nil {
+		return
+	}
+	for _, p := range c.Pools {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+			defer cancel()
+			report, err := f.m.syncPool(ctx, p.Name, cordons[p.Name])
+			if err != nil {
+				f.m.logger.Info("pool is not asked", "pool", p.Name, "error", err)
+				return
+			}
+			f.submit(&maintenance.Reported{Report: report})
+		}()
+	}
+}
+
+// syncPool asks the owner of a pool, wherever it is.
+func (m *Manager) syncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error) {
+	if o := m.owned(name); o != nil {
+		return o.sync(ctx, cordoned)
+	}
+	address := m.ownerAddress(name)
+	if address == "" {
+		return pool.Report{}, errNoOwner
+	}
+	return m.peers.Sync(ctx, address, name, cordoned)
+}
+
+// perform carries out an effect and hands its answer to the planner.
+func (f *fleetOwner) perform(ctx context.Context, effect maintenance.Effect) {
+	switch e := effect.(type) {
+	case *maintenance.ListInstances:
+		go f.list(ctx)
+	case *maintenance.OrderUpkeep:
+		go f.order(ctx, e.Instance, func() (maintenance.Verdict, error) {
+			return f.m.instances.Upkeep(ctx, uint64(f.tenure.Fence), e)
+		})
+	case *maintenance.OrderMove:
+		go f.order(ctx, e.Instance, func() (maintenance.Verdict, error) {
+			return f.m.instances.Move(ctx, uint64(f.tenure.Fence), e)
+		})
+	case *maintenance.RunnerEnded:
+		go f.endRunner(ctx, e)
+	case *maintenance.SaveWave:
+		f.saveWave(e)
+	case *maintenance.ReportWave:
+		f.reportWave(e)
+	case *maintenance.StepDown:
+		go f.m.endShard(fleetShard, "a higher fencing token is known")
+	case *maintenance.Decided:
+		f.m.logger.Info(e.What, "instance", e.Instance, "reason", e.Reason, "dataAge", e.DataAge)
+	}
+}
+
+func (f *fleetOwner) list(ctx context.Context) {
+	asked := time.Now()
+	instances, err := f.m.instances.List(ctx)
+	if err != nil {
+		f.m.logger.Warn("instances are not listed", "error", err)
+	}
+	f.submit(&maintenance.Listed{Instances: instances, Asked: asked, Failed: err != nil})
+}
+
+// order gives an order unless the ownership may be over.
+func (f *fleetOwner) order(ctx context.Context, id maintenance.InstanceID, give func() (maintenance.Verdict, error)) {
+	if !f.m.valid(fleetShard) || ctx.Err() != nil {
+		f.submit(&maintenance.Ordered{Instance: id, Verdict: maintenance.Later})
+		return
+	}
+	v, err := give()
+	if err != nil {
+		f.m.logger.Warn("order for instance", "instance", id, "verdict", v, "error", err)
+	}
+	f.submit(&maintenance.Ordered{Instance: id, Verdict: v})
+}
+
+func (f *fleetOwner) endRunner(ctx context.Context, e *maintenance.RunnerEnded) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	err := f.m.EndRunner(ctx, e.Pool, e.Runner)
+	if err != nil {
+		if address := f.m.ownerAddress(e.Pool); address != "" {
+			err = f.m.peers.EndRunner(ctx, address, e.Pool, e.Runner)
+		}
+	}
+	if err != nil {
+		f.m.logger.Info("owner is not told of the runner's end", "pool", e.Pool, "runner", e.Runner, "error", err)
+	}
+}
+
+// saveWave stores which instances have begun their upkeep.
+func (f *fleetOwner) saveWave(e *maintenance.SaveWave) {
+	value, err := json.Marshal(waveRecord{Begun: e.Begun})
+	if err != nil {
+		f.m.logger.Error("wave cannot be encoded", "wave", e.Wave, "error", err)
+		return
+	}
+	f.put(table.Key{Table: waveTable, Name: strconv.Itoa(int(e.Wave))}, value)
+}
+
+// reportWave tells the operator the state of a wave.
+func (f *fleetOwner) reportWave(e *maintenance.ReportWave) {
+	key, value := f.m.records.WaveReport(e)
+	f.put(key, value)
+	f.m.logger.Info("wave reported", "wave", e.Wave, "state", e.State)
+}
+
+// put queues a row to be stored.
+func (f *fleetOwner) put(key table.Key, value []byte) {
+	select {
+	case f.rows <- table.Row{Key: key, Value: value}:
+	default:
+		f.m.logger.Error("too many rows wait to be stored", "table", key.Table, "row", key.Name)
+	}
+}
+
+// store stores queued rows in order, each until it is stored.
+func (f *fleetOwner) store(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case row := <-f.rows:
+			f.storeRow(ctx, row)
+		}
+	}
+}
+
+func (f *fleetOwner) storeRow(ctx context.Context, row table.Row) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		if f.m.valid(fleetShard) {
+			tx := table.Tx{Part: row.Part}
+			tx.Put(row.Key, row.Value)
+			_, err := f.m.store.Commit(ctx, &tx)
+			if err == nil {
+				return
+			}
+			f.m.logger.Warn("row is not stored", "table", row.Table, "row", row.Name, "error", err)
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+}
--- /dev/null
+++ b/manager/follow.go
@@ -0,0 +1,193 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+)
+
+// Timing of feeds.
+const (
+	// feedWait is how long the store waits for a change. A connection that has
+	// gone silent is noticed soon after, well before a configuration must be in force.
+	feedWait = 1 * time.Second
+	// retryMin and retryMax bound the pause after a failed call.
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// returnGrace is how long runners that lapsed while the store was away may
+	// take to register again.
+	returnGrace = 2 * time.Second
+)
+
+// changes are rows of a followed table. If full is true they are all there are.
+type changes struct {
+	rows []table.Row
+	full bool
+}
+
+// newBackoff returns the pauses between failed calls.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = retryMin, retryMax
+	return b
+}
+
+// follow hands all rows of a table's empty part to apply, and then their changes.
+func (m *Manager) follow(ctx context.Context, name string, apply func(context.Context, changes)) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		rows, version, err := m.readPart(ctx, name, "")
+		if err != nil {
+			m.logger.Warn("table is not read", "table", name, "error", err)
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+		apply(ctx, changes{rows: rows, full: true})
+		m.followFrom(ctx, name, version, apply)
+	}
+}
+
+// followFrom hands changes to apply until the history is lost.
+func (m *Manager) followFrom(ctx context.Context, name string, after table.Version, apply func(context.Context, changes)) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		page, err := m.store.Feed(ctx, name, after, feedWait)
+		var failed *table.Failure
+		switch {
+		case err == nil:
+			pause.Reset()
+		case errors.As(err, &failed) && failed.HistoryLost:
+			m.logger.Info("history of table is lost", "table", name, "after", after)
+			return
+		default:
+			m.logger.Warn("changes of table are not read", "table", name, "error", err)
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		if len(page.Rows) == 0 {
+			continue // an empty answer does not move the position: nothing can be missed
+		}
+		after = page.Version
+		apply(ctx, changes{rows: page.Rows})
+	}
+}
+
+// readPart reads all rows of a part, and the version as of the first page.
+func (m *Manager) readPart(ctx context.Context, name, part string) ([]table.Row, table.Version, error) {
+	var rows []table.Row
+	var version table.Version
+	from := ""
+	for {
+		page, err := m.store.Rows(ctx, name, part, from, "")
+		if err != nil {
+			return nil, 0, err
+		}
+		if version == 0 {
+			version = page.Version
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, version, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Name + "\x00"
+	}
+}
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// applyOperatorRows puts the configuration in force and notes waves.
+func (m *Manager) applyOperatorRows(_ context.Context, c changes) {
+	for _, row := range c.rows {
+		if next, ok, err := m.records.Catalog(row); ok {
+			if err != nil {
+				m.logger.Error("configuration is not taken", "error", err)
+				continue
+			}
+			if m.catalog.Replace(next) {
+				m.logger.Info("configuration in force", "version", next.Version, "queues", len(next.Queues))
+				m.configurationChanged()
+			}
+			continue
+		}
+		if wave, ok, err := m.records.Wave(row); ok {
+			if err != nil {
+				m.logger.Error("wave is not taken", "row", row.Name, "error", err)
+				continue
+			}
+			m.mu.Lock()
+			m.waves[wave.Number] = *wave
+			m.mu.Unlock()
+			m.logger.Info("wave seen", "wave", wave.Number, "instances", len(wave.Instances), "maxCount", wave.MaxCount, "duration", wave.Duration)
+		}
+	}
+}
+
+// configurationChanged tells all owners of pools.
+func (m *Manager) configurationChanged() {
+	settings := m.catalog.Get().QueueSettings()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.pools {
+		o.submit(&pool.QueuesChanged{Queues: settings})
+	}
+}
+
+// applyRunnerRows keeps the mirror of registered runners.
+func (m *Manager) applyRunnerRows(_ context.Context, c changes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.full {
+		clear(m.registered)
+	}
+	for _, row := range c.rows {
+		if row.Removed {
+			delete(m.registered, row.Name)
+			continue
+		}
+		name, runner, err := m.records.Runner(row)
+		if err != nil {
+			m.logger.Warn("registration names no runner", "row", row.Name, "error", err)
+			delete(m.registered, row.Name)
+			continue
+		}
+		m.registered[row.Name] = registration{pool: name, runner: runner}
+	}
+	m.lastListed = time.Now()
+	for _, o := range m.pools {
+		o.submit(m.runnersOf(o.name))
+	}
+}
+
+// runnersOf returns the registered runners of a pool. The caller holds the lock.
+func (m *Manager) runnersOf(name job.PoolName) *pool.RunnersListed {
+	event := &pool.RunnersListed{}
+	for _, r := range m.registered {
+		if r.pool == name {
+			event.Runners = append(event.Runners, r.runner)
+		}
+	}
+	return event
+}
+
+// followPaced is followFrom with a pause after each answer, which collects changes.
+func (m *Manager) followPaced(ctx context.Context, name string, after table.Version, pause time.Duration, apply func(context.Context, changes)) {
+	m.followFrom(ctx, name, after, func(ctx context.Context, c changes) {
+		apply(ctx, c)
+		sleep(ctx, pause)
+	})
+}
--- /dev/null
+++ b/manager/manager.go
@@ -0,0 +1,213 @@
+// Package manager runs an entry that accepts jobs, schedules them over pools of
+// instances and keeps the instances maintained. All entries are alike; claims
+// in the platform's store say which entry owns which pool.
+//
+// # Usage
+//
+//	m := manager.New(manager.Options{Name: "entry-1", Address: "10.0.0.1:7060"},
+//		store, runners, instances, records)
+//	go m.Run(ctx)
+//	accepted := m.Submit(ctx, queue, id, spec)
+package manager
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bronzestair/core/catalog"
+	"bronzestair/core/job"
+	"bronzestair/core/maintenance"
+	"bronzestair/core/ownership"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+	"bronzestair/io/owner"
+)
+
+// Store is the platform's table service.
+type Store interface {
+	// Commit returns a *table.Conflict or a *table.Failure as error.
+	Commit(context.Context, *table.Tx) (table.Version, error)
+	Rows(ctx context.Context, name, part, from, to string) (*table.Page, error)
+	Parts(ctx context.Context, name string) ([]string, error)
+	Feed(ctx context.Context, name string, after table.Version, wait time.Duration) (*table.Page, error)
+	// Answered returns when the store last gave a useful answer.
+	Answered() time.Time
+}
+
+// Runners carries out orders. Errors are for the log; the answers tell what is known.
+type Runners interface {
+	Start(context.Context, *pool.StartTask) (*pool.TaskStarted, error)
+	Stop(context.Context, *pool.StopTask) (*pool.TaskStopped, error)
+	Hold(context.Context, *pool.HoldRunner) (*pool.RunnerHeld, error)
+	Pace(context.Context, *pool.PaceTask) error
+	Advise(ctx context.Context, address string, e *pool.AskAdvice) (*pool.Advised, error)
+}
+
+// Instances is the platform's list of instances.
+type Instances interface {
+	List(context.Context) ([]maintenance.Instance, error)
+	Upkeep(ctx context.Context, fence uint64, e *maintenance.OrderUpkeep) (maintenance.Verdict, error)
+	Move(ctx context.Context, fence uint64, e *maintenance.OrderMove) (maintenance.Verdict, error)
+}
+
+// Records reads and writes the rows that others share with the system.
+type Records interface {
+	// OperatorTable and RunnerTable name the tables to follow.
+	OperatorTable() string
+	RunnerTable() string
+	Catalog(table.Row) (*catalog.Catalog, bool, error)
+	Wave(table.Row) (*maintenance.Wave, bool, error)
+	Runner(table.Row) (job.PoolName, pool.Runner, error)
+	WaveReport(*maintenance.ReportWave) (table.Key, []byte)
+}
+
+// Options are the settings of a Manager.
+type Options struct {
+	// Name is the entry's name, Address where it answers its peers.
+	Name    string
+	Address string
+	// Advice is where advice on steps is to be had; it may be empty.
+	Advice string
+	// Retention is how long the outcome of a job is kept.
+	Retention time.Duration
+	// LeaseMax is the longest lease that runners take; 0 is no bound.
+	LeaseMax    time.Duration
+	StopTime    time.Duration
+	PaceTime    time.Duration
+	UpkeepTime  time.Duration
+	MoveTime    time.Duration
+	HolderPause time.Duration
+	Logger      *slog.Logger
+	Meter       Meter
+}
+
+// Manager is an entry's part in accepting, scheduling and maintaining. Use New.
+type Manager struct {
+	options   Options
+	store     Store
+	runners   Runners
+	instances Instances
+	records   Records
+	peers     *owner.Peers
+	logger    *slog.Logger
+
+	catalog catalog.Holder
+	// stopping is true once the entry is about to end.
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	tracker *ownership.Tracker
+	pools   map[job.PoolName]*poolOwner
+	fleet   *fleetOwner
+	// registered and waves mirror the shared tables.
+	registered map[string]registration
+	lastListed time.Time
+	waves      map[maintenance.WaveNumber]maintenance.Wave
+	group      *errgroup.Group
+}
+
+// registration is a runner's row, decoded.
+type registration struct {
+	pool   job.PoolName
+	runner pool.Runner
+}
+
+// fleetShard is the shard whose owner maintains the instances.
+const fleetShard ownership.Shard = "fleet"
+
+// DefaultRetention is how long outcomes are kept.
+const DefaultRetention = 2 * time.Minute
+
+// New returns a manager that does nothing until Run.
+func New(o Options, store Store, runners Runners, instances Instances, records Records) *Manager {
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.Meter == nil {
+		o.Meter = noMeter{}
+	}
+	m := &Manager{
+		options: o, store: store, runners: runners, instances: instances, records: records,
+		logger:     o.Logger,
+		pools:      map[job.PoolName]*poolOwner{},
+		registered: map[string]registration{},
+		waves:      map[maintenance.WaveNumber]maintenance.Wave{},
+	}
+	incarnation := newIncarnation()
+	m.tracker = ownership.New(o.Name, o.Address, incarnation)
+	m.peers = owner.NewPeers(m, o.Logger)
+	return m
+}
+
+// Ready reports whether the entry can take jobs.
+func (m *Manager) Ready() bool { return m.catalog.Get() != nil && !m.stopping.Load() }
+
+// Catalog returns the configuration in force, or nil.
+func (m *Manager) Catalog() *catalog.Catalog { return m.catalog.Get() }
+
+// Run works until the context ends, answering peers on the listener.
+func (m *Manager) Run(ctx context.Context, peers net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	m.mu.Lock()
+	m.group = group
+	m.mu.Unlock()
+	group.Go(func() error { return m.peers.Serve(ctx, peers) })
+	group.Go(func() error {
+		m.follow(ctx, m.records.OperatorTable(), m.applyOperatorRows)
+		return nil
+	})
+	group.Go(func() error {
+		m.follow(ctx, m.records.RunnerTable(), m.applyRunnerRows)
+		return nil
+	})
+	group.Go(func() error {
+		m.claim(ctx)
+		return nil
+	})
+	return group.Wait()
+}
+
+// Stop gives up all that the entry owns. Jobs are still accepted until the
+// listeners close.
+func (m *Manager) Stop(ctx context.Context) {
+	m.stopping.Store(true)
+	m.mu.Lock()
+	m.tracker.Passive = true
+	releases := m.tracker.Releases()
+	m.mu.Unlock()
+	for _, w := range releases {
+		m.endShard(w.Shard, "stopping")
+		if err := m.writeClaim(ctx, w); err != nil {
+			m.logger.Warn("claim is not released", "shard", w.Shard, "error", err)
+		}
+	}
+}
+
+// owned returns the pool's owner in this process, or nil.
+func (m *Manager) owned(name job.PoolName) *poolOwner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pools[name]
+}
+
+// ownerAddress returns where the pool's owner answers, or "".
+func (m *Manager) ownerAddress(name job.PoolName) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	claim, ok := m.tracker.Owner(poolShard(name))
+	if !ok || claim.Address == m.options.Address {
+		return ""
+	}
+	return claim.Address
+}
+
+func poolShard(name job.PoolName) ownership.Shard { return ownership.Shard("pool/" + string(name)) }
--- /dev/null
+++ b/manager/meter.go
@@ -0,0 +1,25 @@
+package manager
+
+import (
+	"errors"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+)
+
+var errNoOwner = errors.New("the pool has no owner for now")
+
+// Meter counts what the manager does.
+type Meter interface {
+	Started(name job.PoolName, call pool.Call)
+	Ended(name job.PoolName, how pool.End)
+	Answered(operation string, status int, took time.Duration)
+}
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Started(job.PoolName, pool.Call)     {}
+func (noMeter) Ended(job.PoolName, pool.End)        {}
+func (noMeter) Answered(string, int, time.Duration) {}
--- /dev/null
+++ b/manager/pool.go
@@ -0,0 +1,323 @@
+package manager
+
+import (
+	"context"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/ownership"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+)
+
+// Timing of a pool's owner.
+const (
+	tickInterval = 50 * time.Millisecond
+	// inboxSize holds the events of a burst.
+	inboxSize = 4096
+	// cordonTerm is how long cordons last without being asked for again.
+	cordonTerm = 3 * time.Second
+	// jobFeedPause collects changes of jobs between two reads of the feed.
+	jobFeedPause = 300 * time.Millisecond
+	// expireInterval is how often old outcomes are dropped from memory.
+	expireInterval = 10 * time.Second
+)
+
+// The tables of jobs. Rows are named by job and lie in their queue's part.
+const (
+	jobTable      = "jobs"
+	progressTable = "progress"
+	outcomeTable  = "outcomes"
+)
+
+// poolOwner runs the reducer of a pool that this entry owns.
+type poolOwner struct {
+	m      *Manager
+	name   job.PoolName
+	shard  ownership.Shard
+	tenure ownership.Tenure
+	cancel context.CancelFunc
+	inbox  chan pool.Event
+	// queries are run between events.
+	queries chan func(context.Context, *pool.Pool)
+	writer  *writer
+
+	cordonedAt time.Time
+	done       chan struct{}
+}
+
+func newPoolOwner(m *Manager, name job.PoolName, tenure ownership.Tenure, cancel context.CancelFunc) *poolOwner {
+	o := &poolOwner{
+		m: m, name: name, shard: tenure.Shard, tenure: tenure, cancel: cancel,
+		inbox:   make(chan pool.Event, inboxSize),
+		queries: make(chan func(context.Context, *pool.Pool)),
+		done:    make(chan struct{}),
+	}
+	o.writer = newWriter(m.store, o, m.logger)
+	return o
+}
+
+// submit hands an event to the reducer. A full inbox drops nothing: the sender waits.
+func (o *poolOwner) submit(e pool.Event) {
+	select {
+	case o.inbox <- e:
+	case <-o.done:
+	}
+}
+
+// ask runs a query between two events, with the context of the ownership.
+func (o *poolOwner) ask(ctx context.Context, query func(context.Context, *pool.Pool)) bool {
+	finished := make(chan struct{})
+	select {
+	case o.queries <- func(ctx context.Context, p *pool.Pool) { query(ctx, p); close(finished) }:
+		<-finished
+		return true
+	case <-o.done:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// run reduces events until the context ends.
+func (o *poolOwner) run(ctx context.Context) {
+	defer close(o.done)
+	p := pool.New(o.poolOptions(), time.Now())
+	o.begin(ctx, p)
+	go o.load(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-o.inbox:
+			o.reduce(ctx, p, e)
+		case query := <-o.queries:
+			query(ctx, p)
+		case <-ticker.C:
+			o.dropCordons(ctx, p)
+			o.reduce(ctx, p, pool.Ticked{})
+		case <-expire.C:
+			p.Expire(time.Now(), o.m.options.Retention)
+		}
+	}
+}
+
+func (o *poolOwner) poolOptions() pool.Options {
+	lease := pool.DefaultLease
+	if m := o.m.options.LeaseMax; m > 0 {
+		lease = min(lease, m)
+	}
+	return pool.Options{
+		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
+		Lease: lease, StopTime: o.m.options.StopTime, PaceTime: o.m.options.PaceTime,
+	}
+}
+
+// begin hands over what the entry knows already.
+func (o *poolOwner) begin(ctx context.Context, p *pool.Pool) {
+	o.m.mu.Lock()
+	runners := o.m.runnersOf(o.name)
+	listed := !o.m.lastListed.IsZero()
+	o.m.mu.Unlock()
+	if c := o.m.catalog.Get(); c != nil {
+		o.reduce(ctx, p, &pool.QueuesChanged{Queues: c.QueueSettings()})
+	}
+	if listed {
+		o.reduce(ctx, p, runners)
+	}
+}
+
+func (o *poolOwner) reduce(ctx context.Context, p *pool.Pool, e pool.Event) {
+	for _, effect := range p.Reduce(time.Now(), e) {
+		o.perform(ctx, effect)
+	}
+}
+
+// dropCordons ends cordons that nobody asks for any more.
+func (o *poolOwner) dropCordons(ctx context.Context, p *pool.Pool) {
+	if !o.cordonedAt.IsZero() && time.Since(o.cordonedAt) > cordonTerm {
+		o.cordonedAt = time.Time{}
+		o.reduce(ctx, p, &pool.Cordoned{})
+	}
+}
+
+// perform carries out an effect and hands its answer to the reducer.
+func (o *poolOwner) perform(ctx context.Context, effect pool.Effect) {
+	switch e := effect.(type) {
+	case *pool.StartTask:
+		go o.start(ctx, e)
+	case *pool.StopTask:
+		go o.stop(ctx, e)
+	case *pool.HoldRunner:
+		go o.hold(ctx, e)
+	case *pool.PaceTask:
+		go func() {
+			if err := o.m.runners.Pace(ctx, e); err != nil {
+				o.m.logger.Warn("pace is not set", "task", e.Task.String(), "runner", e.Runner.ID, "error", err)
+			}
+		}()
+	case *pool.SaveJob, *pool.FinishJob:
+		o.writer.add(ctx, e)
+	case *pool.AskAdvice:
+		go func() {
+			answer, err := o.m.runners.Advise(ctx, o.m.options.Advice, e)
+			if err != nil {
+				o.m.logger.Warn("no advice", "step", e.Step, "error", err)
+			}
+			o.submit(answer)
+		}()
+	case *pool.StepDown:
+		o.m.logger.Warn("ownership ends", "pool", o.name, "reason", e.Reason)
+		go o.m.endShard(o.shard, e.Reason)
+	case *pool.Decided:
+		o.log(e)
+	}
+}
+
+func (o *poolOwner) start(ctx context.Context, e *pool.StartTask) {
+	if !o.m.valid(o.shard) {
+		o.submit(&pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: pool.RefusedUnhealthy})
+		return
+	}
+	answer, err := o.m.runners.Start(ctx, e)
+	if err != nil {
+		o.m.logger.Warn("start has no answer", "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID, "error", err)
+	}
+	o.m.options.Meter.Started(o.name, answer.Call)
+	o.submit(answer)
+}
+
+func (o *poolOwner) stop(ctx context.Context, e *pool.StopTask) {
+	answer, err := o.m.runners.Stop(ctx, e)
+	if err != nil {
+		o.m.logger.Warn("stop has no answer", "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID, "error", err)
+	}
+	o.submit(answer)
+}
+
+func (o *poolOwner) hold(ctx context.Context, e *pool.HoldRunner) {
+	if !o.m.valid(o.shard) {
+		sleep(ctx, tickInterval)
+		o.submit(&pool.RunnerHeld{Runner: e.Runner.ID, Call: pool.Unknown, Sent: time.Now()})
+		return
+	}
+	answer, err := o.m.runners.Hold(ctx, e)
+	if err != nil {
+		o.m.logger.Warn("hold has no answer", "runner", e.Runner.ID, "error", err)
+	}
+	for _, end := range answer.Ended {
+		o.m.options.Meter.Ended(o.name, end.How)
+	}
+	o.submit(answer)
+}
+
+// log writes one line for a decision.
+func (o *poolOwner) log(e *pool.Decided) {
+	attributes := []any{"pool", o.name, "job", e.Job}
+	if e.Task.Job != "" {
+		attributes = append(attributes, "task", e.Task.String(), "run", e.Run, "runner", e.Runner)
+	}
+	if e.DataAge > 0 {
+		attributes = append(attributes, "dataAge", e.DataAge)
+	}
+	o.m.logger.Info(e.What, append(attributes, "reason", e.Reason)...)
+}
+
+// load hands over all stored jobs, and then the changes.
+func (o *poolOwner) load(ctx context.Context) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		present, version, err := o.loadJobs(ctx)
+		if err != nil {
+			o.m.logger.Warn("jobs are not loaded", "pool", o.name, "error", err)
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		o.submit(&pool.JobsLoaded{Present: present, Version: pool.RowVersion(version)})
+		o.m.followPaced(ctx, jobTable, version, jobFeedPause, o.applyJobRows)
+		pause.Reset()
+	}
+}
+
+// loadJobs hands over the stored jobs of the pool. It returns the names of all
+// stored jobs and a version before which nothing was missed.
+func (o *poolOwner) loadJobs(ctx context.Context) (map[job.ID]bool, table.Version, error) {
+	present := map[job.ID]bool{}
+	_, first, err := o.m.readPart(ctx, jobTable, "") // for the version alone: jobs lie in the parts of queues
+	if err != nil {
+		return nil, 0, err
+	}
+	parts, err := o.m.store.Parts(ctx, jobTable)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, part := range parts {
+		progress, _, err := o.m.readPart(ctx, progressTable, part)
+		if err != nil {
+			return nil, 0, err
+		}
+		rows, _, err := o.m.readPart(ctx, jobTable, part)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, row := range rows {
+			present[job.ID(row.Name)] = true
+		}
+		o.handOver(rows, progress)
+	}
+	return present, first, nil
+}
+
+// handOver gives stored jobs to the reducer.
+func (o *poolOwner) handOver(rows, progress []table.Row) {
+	saved := make(map[string]table.Row, len(progress))
+	for _, row := range progress {
+		saved[row.Name] = row
+	}
+	for _, row := range rows {
+		event := o.decodeJob(row)
+		if event == nil {
+			continue
+		}
+		event.Inherited = row.Version <= table.Version(o.tenure.Fence)
+		if row, ok := saved[row.Name]; ok {
+			decoded, err := job.DecodeProgress(row.Value)
+			if err != nil {
+				o.m.logger.Error("progress is broken", "job", row.Name, "error", err)
+			} else {
+				event.Progress = decoded
+			}
+			event.ProgressVersion = pool.RowVersion(row.Version)
+		}
+		o.submit(event)
+	}
+}
+
+// decodeJob returns the event for a job's row, or nil if it is not one of this pool.
+func (o *poolOwner) decodeJob(row table.Row) *pool.JobStored {
+	record, err := job.DecodeRecord(row.Value)
+	if err != nil {
+		o.m.logger.Error("job is broken", "job", row.Name, "error", err)
+		return nil
+	}
+	if record.Pool != o.name {
+		return nil
+	}
+	return &pool.JobStored{Record: record, Version: pool.RowVersion(row.Version)}
+}
+
+// applyJobRows hands over the changes that the feed tells.
+func (o *poolOwner) applyJobRows(_ context.Context, c changes) {
+	for _, row := range c.rows {
+		if row.Removed {
+			o.submit(&pool.JobRemoved{ID: job.ID(row.Name)})
+			continue
+		}
+		if event := o.decodeJob(row); event != nil {
+			o.submit(event)
+		}
+	}
+}
--- /dev/null
+++ b/manager/serve.go
@@ -0,0 +1,84 @@
+package manager
+
+import (
+	"context"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/io/owner"
+)
+
+// The methods in this file answer peers. They implement owner.Handler.
+
+// TakeJob hands a stored job to the pool's owner in this process.
+func (m *Manager) TakeJob(_ context.Context, name job.PoolName, value []byte, version uint64) error {
+	o := m.owned(name)
+	if o == nil {
+		return owner.ErrNotOwner
+	}
+	record, err := job.DecodeRecord(value)
+	if err != nil {
+		return err
+	}
+	o.submit(&pool.JobStored{Record: record, Version: pool.RowVersion(version)})
+	return nil
+}
+
+// TellState returns the state of a job, "" if the owner does not know it.
+func (m *Manager) TellState(ctx context.Context, name job.PoolName, id job.ID) (job.State, error) {
+	o := m.owned(name)
+	if o == nil {
+		return "", owner.ErrNotOwner
+	}
+	state, _ := o.state(ctx, id)
+	return state, nil
+}
+
+// TellWaiting counts the queue's jobs of which no task has started.
+func (m *Manager) TellWaiting(ctx context.Context, name job.PoolName, queue job.QueueName) (int, error) {
+	o := m.owned(name)
+	if o == nil {
+		return 0, owner.ErrNotOwner
+	}
+	return o.waiting(ctx, queue)
+}
+
+// SyncPool cordons runners and returns the pool's load.
+func (m *Manager) SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error) {
+	o := m.owned(name)
+	if o == nil {
+		return pool.Report{}, owner.ErrNotOwner
+	}
+	return o.sync(ctx, cordoned)
+}
+
+func (o *poolOwner) sync(ctx context.Context, cordoned []pool.RunnerID) (pool.Report, error) {
+	set := make(map[pool.RunnerID]bool, len(cordoned))
+	for _, id := range cordoned {
+		set[id] = true
+	}
+	var report pool.Report
+	ok := o.ask(ctx, func(ctx context.Context, p *pool.Pool) {
+		o.cordonedAt = time.Now()
+		o.reduce(ctx, p, &pool.Cordoned{Runners: set})
+		report = p.Report(time.Now())
+	})
+	if !ok {
+		return report, owner.ErrNotOwner
+	}
+	return report, nil
+}
+
+// EndRunner tells the pool's owner that the life of a runner is over.
+func (m *Manager) EndRunner(_ context.Context, name job.PoolName, runner pool.RunnerID) error {
+	o := m.owned(name)
+	if o == nil {
+		return owner.ErrNotOwner
+	}
+	o.submit(&pool.RunnerEnded{Runner: runner})
+	return nil
+}
+
+// StoreAge returns how long ago the store last answered this process.
+func (m *Manager) StoreAge() time.Duration { return time.Since(m.store.Answered()) }
--- /dev/null
+++ b/manager/writer.go
@@ -0,0 +1,244 @@
+package manager
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+	"bronzestair/core/verdict"
+)
+
+const (
+	// writeBatch is how many jobs share a transaction, five entries each at most.
+	writeBatch = 18
+	// writeTries is how often a write whose answer was lost is sent again.
+	writeTries = 20
+)
+
+// write is the storing of a job's progress or outcome.
+type write struct {
+	id              job.ID
+	queue           job.QueueName
+	version         table.Version
+	progressVersion table.Version
+	seq             uint64
+	// value is the progress or the outcome.
+	value    []byte
+	finished bool
+}
+
+func (w *write) key(name string) table.Key {
+	return table.Key{Table: name, Part: string(w.queue), Name: string(w.id)}
+}
+
+// add puts the write's part into a transaction. The job's row stands for the
+// job not having ended; the progress row tells owners apart.
+func (w *write) add(tx *table.Tx) {
+	tx.Expect(w.key(jobTable), w.version)
+	tx.Expect(w.key(progressTable), w.progressVersion)
+	if !w.finished {
+		tx.Put(w.key(progressTable), w.value)
+		return
+	}
+	tx.Put(w.key(outcomeTable), w.value)
+	tx.Remove(w.key(jobTable))
+	if w.progressVersion > 0 {
+		tx.Remove(w.key(progressTable))
+	}
+}
+
+// eventSink takes events for the reducer.
+type eventSink interface {
+	submit(pool.Event)
+}
+
+// writer stores the progress of a pool's jobs, many with one transaction.
+type writer struct {
+	store  Store
+	sink   eventSink
+	logger *slog.Logger
+	queues chan *write
+	begun  bool
+}
+
+func newWriter(store Store, sink eventSink, logger *slog.Logger) *writer {
+	return &writer{store: store, sink: sink, logger: logger, queues: make(chan *write, inboxSize)}
+}
+
+// add queues an effect's write. It is called by one goroutine.
+func (w *writer) add(ctx context.Context, effect pool.Effect) {
+	if !w.begun {
+		w.begun = true
+		go w.run(ctx)
+	}
+	next, err := newWrite(effect)
+	if err != nil {
+		w.logger.Error("job cannot be encoded", "job", next.id, "error", err)
+		return
+	}
+	select {
+	case w.queues <- next:
+	case <-ctx.Done():
+	}
+}
+
+func newWrite(effect pool.Effect) (*write, error) {
+	var w write
+	var err error
+	switch e := effect.(type) {
+	case *pool.SaveJob:
+		w = write{
+			id: e.ID, queue: e.Queue, seq: e.Seq,
+			version: table.Version(e.Version), progressVersion: table.Version(e.ProgressVersion),
+		}
+		w.value, err = e.Progress.Encode()
+	case *pool.FinishJob:
+		w = write{
+			id: e.ID, queue: e.Queue, seq: e.Seq, finished: true,
+			version: table.Version(e.Version), progressVersion: table.Version(e.ProgressVersion),
+		}
+		w.value, err = e.Outcome.Encode()
+	}
+	return &w, err
+}
+
+// run collects writes by queue while a transaction of the queue is under way.
+func (w *writer) run(ctx context.Context) {
+	pending := map[job.QueueName][]*write{}
+	busy := map[job.QueueName]bool{}
+	finished := make(chan job.QueueName)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-w.queues:
+			pending[next.queue] = append(pending[next.queue], next)
+		case queue := <-finished:
+			busy[queue] = false
+		}
+		for queue, writes := range pending {
+			if busy[queue] || len(writes) == 0 {
+				continue
+			}
+			n := min(len(writes), writeBatch)
+			batch := writes[:n]
+			pending[queue] = writes[n:]
+			busy[queue] = true
+			go func() {
+				w.commit(ctx, batch)
+				select {
+				case finished <- queue:
+				case <-ctx.Done():
+				}
+			}()
+		}
+	}
+}
+
+// commit stores a batch and reports on each of its writes.
+func (w *writer) commit(ctx context.Context, batch []*write) {
+	pause := newBackoff()
+	for try := 0; len(batch) > 0 && ctx.Err() == nil; try++ {
+		tx := table.Tx{Part: string(batch[0].queue)}
+		for _, next := range batch {
+			next.add(&tx)
+		}
+		version, err := w.store.Commit(ctx, &tx)
+		var conflict *table.Conflict
+		var failed *table.Failure
+		switch {
+		case err == nil:
+			for _, next := range batch {
+				w.saved(next, version)
+			}
+			return
+		case errors.As(err, &conflict):
+			left := w.settle(ctx, batch, conflict)
+			if len(left) == len(batch) {
+				w.fail(batch)
+				return
+			}
+			batch = left
+		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun || try >= writeTries:
+			w.logger.Warn("jobs are not saved", "queue", batch[0].queue, "count", len(batch), "error", err)
+			w.fail(batch)
+			return
+		default:
+			w.logger.Warn("saving has no answer", "queue", batch[0].queue, "count", len(batch), "error", err)
+			sleep(ctx, pause.NextBackOff())
+		}
+	}
+}
+
+func (w *writer) saved(next *write, version table.Version) {
+	w.sink.submit(&pool.JobSaved{
+		ID: next.id, Seq: next.seq, Version: pool.RowVersion(version), Finished: next.finished,
+	})
+}
+
+func (w *writer) fail(batch []*write) {
+	for _, next := range batch {
+		w.sink.submit(&pool.JobSaved{ID: next.id, Seq: next.seq, Failed: true})
+	}
+}
+
+// settle reports on the writes whose conditions do not hold and returns the others.
+func (w *writer) settle(ctx context.Context, batch []*write, conflict *table.Conflict) []*write {
+	var left []*write
+	for _, next := range batch {
+		row, exists := conflict.Row(next.key(jobTable))
+		progress, _ := conflict.Row(next.key(progressTable))
+		switch {
+		case !exists:
+			w.settleEnded(ctx, next)
+		case row.Version == next.version && progress.Version == next.progressVersion:
+			left = append(left, next)
+		case !next.finished && bytes.Equal(progress.Value, next.value):
+			w.saved(next, progress.Version) // an earlier try took effect
+		default:
+			w.logger.Warn("job has another owner", "job", next.id, "queue", next.queue,
+				"expected", next.progressVersion, "found", progress.Version)
+			w.sink.submit(&pool.OwnerChanged{ID: next.id})
+		}
+	}
+	return left
+}
+
+// settleEnded reports on a write for a job that has an outcome already.
+func (w *writer) settleEnded(ctx context.Context, next *write) {
+	outcome, found, err := readOutcome(ctx, w.store, next.queue, next.id)
+	switch {
+	case err != nil:
+		w.logger.Warn("outcome is not read", "job", next.id, "error", err)
+		w.fail([]*write{next})
+	case !found:
+		w.logger.Error("job has neither row nor outcome", "job", next.id)
+		w.sink.submit(&pool.JobEnded{ID: next.id, Outcome: job.Outcome{State: job.Cancelled, At: time.Now()}})
+	default:
+		w.sink.submit(&pool.JobEnded{ID: next.id, Outcome: outcome})
+	}
+}
+
+// readOutcome returns the stored outcome of a job.
+func readOutcome(ctx context.Context, store Store, queue job.QueueName, id job.ID) (job.Outcome, bool, error) {
+	row, found, err := readRow(ctx, store, table.Key{Table: outcomeTable, Part: string(queue), Name: string(id)})
+	if err != nil || !found {
+		return job.Outcome{}, false, err
+	}
+	outcome, err := job.DecodeOutcome(row.Value)
+	return outcome, err == nil, err
+}
+
+// readRow returns one row.
+func readRow(ctx context.Context, store Store, key table.Key) (table.Row, bool, error) {
+	page, err := store.Rows(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	if err != nil || len(page.Rows) == 0 {
+		return table.Row{}, false, err
+	}
+	return page.Rows[0], true, nil
+}
