Adopt running tasks whatever their run number

Cause: after a change of owner every running task was stopped as a stranger and started again: the numbers that the new owner starts with were taken as the tasks' last runs. Ruled out: unread job rows (the log shows them handed over first). Change: the floor of run numbers is kept apart from a task's last run.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -172,7 +172,7 @@
 			}
 			return
 		}
-		p.start(now, t, r, t.run+1)
+		p.start(now, t, r, t.nextRun())
 	}
 }
 
--- a/core/pool/gang.go
+++ b/core/pool/gang.go
@@ -14,7 +14,7 @@
 		if t.state != ready {
 			return
 		}
-		run = max(run, t.run+1)
+		run = max(run, t.nextRun())
 	}
 	placed := p.fitGang(now, step, usable)
 	if placed == nil {
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -51,6 +51,9 @@
 	slowed    int // how much below full pace, in percent
 }
 
+// nextRun returns a run number that nobody has used for the task.
+func (t *task) nextRun() int { return max(t.run, t.job.runFloor) + 1 }
+
 // atWork reports whether a persistent task serves.
 func (t *task) atWork() bool { return t.state == running && t.percent >= 100 }
 
@@ -80,7 +83,9 @@
 	version         RowVersion
 	progressVersion RowVersion
 	inherited       bool
-	occurrences     []*occurrence
+	// runFloor is the highest run number that a former owner can have used.
+	runFloor    int
+	occurrences []*occurrence
 	// finishedOccurrences counts those from the first on that are done.
 	finishedOccurrences int
 	begun               bool
@@ -119,6 +124,9 @@
 		record: e.Record, version: e.Version, progressVersion: e.ProgressVersion,
 		inherited: e.Inherited,
 	}
+	if j.inherited {
+		j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
+	}
 	p.jobs[id] = j
 	if e.Progress != nil {
 		j.begun = true
@@ -162,28 +170,22 @@
 		if due.After(now) {
 			break
 		}
-		j.occurrences = append(j.occurrences, newOccurrence(j, n, due, p.options.Epoch))
+		j.occurrences = append(j.occurrences, newOccurrence(j, n, due))
 		added = true
 	}
 	return added
 }
 
-// newOccurrence returns an occurrence of which nothing is known to have run. A
-// former owner may have started tasks of an inherited job, so their runs get
-// numbers above all that it can have used.
-func newOccurrence(j *jobState, number int, due time.Time, epoch int) *occurrence {
+// newOccurrence returns an occurrence of which nothing is known to have run.
+func newOccurrence(j *jobState, number int, due time.Time) *occurrence {
 	o := &occurrence{number: number, due: due}
-	firstRun := 0
-	if j.inherited {
-		firstRun = max(0, epoch-1) * runsPerEpoch
-	}
 	for s := range j.record.Spec.Steps {
 		spec := &j.record.Spec.Steps[s]
 		step := &stepState{spec: spec, tasks: make([]task, spec.Count), remaining: spec.Count}
 		for i := range step.tasks {
 			step.tasks[i] = task{
 				id:  job.TaskID{Job: j.id(), Occurrence: number, Step: s, Index: i},
-				job: j, step: step, run: firstRun,
+				job: j, step: step,
 			}
 		}
 		o.steps = append(o.steps, step)
