Read a runner's ends again while jobs are loading

Cause: a new owner that heard a runner before it knew the jobs skipped the listed ends, and started done tasks again. Ruled out: lost progress rows (the former owner could not reach the store). Change: such a runner stays unresolved until all its ends are handled. Conclusion: TestNewOwnerWaitsForEndsThatItCannotReadYet replays it.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -72,10 +72,8 @@
 	if !e.Born.IsZero() && !e.Born.Equal(r.born) {
 		p.reborn(now, r, e)
 	}
-	first := !r.resolved
-	r.resolved = true
-	p.handleEnds(now, r, e.Ended)
-	listed := p.handleRunning(now, r, e, first)
+	r.resolved = p.handleEnds(now, r, e.Ended)
+	listed := p.handleRunning(now, r, e)
 	p.handleAbsent(now, r, e, listed)
 	p.pace(now)
 	p.changed = true
@@ -94,8 +92,9 @@
 	clear(r.strangers)
 }
 
-// handleEnds notes the ends that are new.
-func (p *Pool) handleEnds(now time.Time, r *runnerState, ends []EndedTask) {
+// handleEnds notes the ends that are new. It reports whether all could be
+// handled: while jobs are loading, an end's job may not be known yet.
+func (p *Pool) handleEnds(now time.Time, r *runnerState, ends []EndedTask) bool {
 	for _, end := range ends {
 		if end.Number <= r.seen {
 			continue
@@ -108,11 +107,12 @@
 		} else if p.loading {
 			// The job may still be handed over: look at the end again then.
 			r.seen = end.Number - 1
-			return
+			return false
 		}
 		r.ends = append(r.ends, entry)
 		delete(r.strangers, end.Task)
 	}
+	return true
 }
 
 // handleEnd applies an end and returns the change that must be stored before it
@@ -179,7 +179,7 @@
 	other := t.runner
 	p.markDone(now, t)
 	if other != nil {
-		p.orderStop(now, t)
+		p.orderStop(now, t, "an earlier run is done")
 	}
 	return seq
 }
@@ -215,13 +215,13 @@
 }
 
 // handleRunning updates the tasks that a runner lists as running.
-func (p *Pool) handleRunning(now time.Time, r *runnerState, e *RunnerHeld, first bool) map[job.TaskID]bool {
+func (p *Pool) handleRunning(now time.Time, r *runnerState, e *RunnerHeld) map[job.TaskID]bool {
 	listed := make(map[job.TaskID]bool, len(e.Running))
 	for _, row := range e.Running {
 		listed[row.Task] = true
 		t := p.adopt(now, r, row)
 		if t == nil {
-			p.stopStranger(r, row, first)
+			p.stopStranger(r, row)
 			continue
 		}
 		if t.state == starting {
@@ -273,8 +273,8 @@
 }
 
 // stopStranger ends a run that should not be there.
-func (p *Pool) stopStranger(r *runnerState, row RunningTask, first bool) {
-	if p.loading && first {
+func (p *Pool) stopStranger(r *runnerState, row RunningTask) {
+	if p.loading {
 		r.resolved = false
 		return
 	}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -40,13 +40,14 @@
 		t.state = stopping
 	}
 	t.orders = 0
-	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: t.runner.ID, Run: t.run, What: "taskStopped", Reason: reason})
 	if t.state == stopping && !t.inFlight {
-		p.orderStop(now, t)
+		p.orderStop(now, t, reason)
 	}
 }
 
-func (p *Pool) orderStop(now time.Time, t *task) {
+// orderStop sends a stop to the task's runner.
+func (p *Pool) orderStop(now time.Time, t *task, reason string) {
+	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: t.runner.ID, Run: t.run, What: "taskStopped", Reason: reason})
 	t.inFlight = true
 	t.ordered = now
 	t.orders++
@@ -68,7 +69,7 @@
 	switch {
 	case t.state == stopping:
 		if e.Call == Done || e.Call == Unknown {
-			p.orderStop(now, t)
+			p.orderStop(now, t, "no longer wanted")
 			return
 		}
 		p.freeTask(now, t)
@@ -82,7 +83,7 @@
 	case e.Call == Unknown:
 		t.state = stopping
 		t.orders = 0
-		p.orderStop(now, t)
+		p.orderStop(now, t, "start has no answer")
 	default:
 		p.refused(now, r, t, e.Call)
 	}
@@ -163,7 +164,7 @@
 				continue
 			}
 			if t.stopped.IsZero() && now.Sub(t.ordered) > stopRetry {
-				p.orderStop(now, t)
+				p.orderStop(now, t, "stop has no answer")
 			}
 		}
 	}
--- /dev/null
+++ b/core/pool/pool_test.go
@@ -0,0 +1,203 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/job"
+)
+
+// rig drives a Pool in virtual time and keeps the effects of each event.
+type rig struct {
+	t    *testing.T
+	now  time.Time
+	pool *Pool
+}
+
+const (
+	testQueue job.QueueName = "seats"
+	testPool  job.PoolName  = "booking"
+)
+
+func newRig(t *testing.T, o Options) *rig {
+	t.Helper()
+	o.Pool = testPool
+	if o.Fence == 0 {
+		o.Fence = 7
+	}
+	if o.Epoch == 0 {
+		o.Epoch = 1
+	}
+	r := &rig{t: t, now: time.Unix(1_000_000, 0)}
+	r.pool = New(o, r.now)
+	r.send(&QueuesChanged{Queues: map[job.QueueName]QueueSettings{testQueue: {MaxAttempts: 3, Stretch: 2, LatencyTarget: time.Second}}})
+	return r
+}
+
+func (r *rig) send(e Event) []Effect {
+	var out []Effect
+	for _, effect := range r.pool.Reduce(r.now, e) {
+		if _, ok := effect.(*Decided); !ok {
+			out = append(out, effect)
+		}
+	}
+	return out
+}
+
+func (r *rig) pass(d time.Duration) []Effect {
+	r.now = r.now.Add(d)
+	return r.send(Ticked{})
+}
+
+func (r *rig) runners(ids ...RunnerID) []Effect {
+	var list []Runner
+	for _, id := range ids {
+		list = append(list, Runner{ID: id, Address: string(id), Capacity: job.Resources{CPU: 16000, Memory: 65536}, Labels: []string{"a", "rack-1"}})
+	}
+	return r.send(&RunnersListed{Runners: list})
+}
+
+// held answers a hold of a runner.
+func (r *rig) held(id RunnerID, running []RunningTask, ended []EndedTask) []Effect {
+	sent := r.now
+	r.now = r.now.Add(5 * time.Millisecond)
+	return r.send(&RunnerHeld{
+		Runner: id, Call: Done, Sent: sent, Clock: ClockReading{Clock: RunnerClock(time.Hour), At: r.now},
+		Born: time.Unix(1, 0), Running: running, Ended: ended,
+	})
+}
+
+func (r *rig) store(id job.ID, inherited bool, steps ...job.Step) []Effect {
+	return r.send(&JobStored{
+		Record:  &job.Record{Pool: testPool, Queue: testQueue, ID: id, Spec: job.Spec{Steps: steps}, Accepted: r.now},
+		Version: 11, Inherited: inherited,
+	})
+}
+
+// started confirms all starts among the effects.
+func (r *rig) started(effects []Effect) []Effect {
+	var out []Effect
+	for _, s := range of[*StartTask](effects) {
+		out = append(out, r.send(&TaskStarted{Runner: s.Runner.ID, Task: s.Task, Run: s.Run, Call: Done})...)
+	}
+	return out
+}
+
+func of[T Effect](effects []Effect) []T {
+	var out []T
+	for _, e := range effects {
+		if typed, ok := e.(T); ok {
+			out = append(out, typed)
+		}
+	}
+	return out
+}
+
+// starts names the starts among effects as "task run@runner".
+func starts(effects []Effect) []string {
+	var out []string
+	for _, s := range of[*StartTask](effects) {
+		out = append(out, fmt.Sprintf("%v %d@%s", s.Task, s.Run, s.Runner.ID))
+	}
+	return out
+}
+
+func id(n int) job.ID { return job.ID(fmt.Sprintf("%016x", n)) }
+
+func name(n, step, index int) job.TaskID { return job.TaskID{Job: id(n), Step: step, Index: index} }
+
+func want(t *testing.T, what string, got, expected any) {
+	t.Helper()
+	if diff := cmp.Diff(expected, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+func oneTask() job.Step {
+	return job.Step{Count: 1, Resources: job.Resources{CPU: 1000, Memory: 100}, EstimatedRuntime: time.Second}
+}
+
+func TestStepsRunInOrderAndJobCompletes(t *testing.T) {
+	r := newRig(t, Options{})
+	r.runners("r1")
+	r.held("r1", nil, nil)
+	second := oneTask()
+	second.After = []int{0}
+	effects := r.store(id(1), false, oneTask(), second)
+	want(t, "first step", starts(effects), []string{name(1, 0, 0).String() + " 1@r1"})
+	r.started(effects)
+	effects = r.held("r1", nil, []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 1, How: EndDone}})
+	want(t, "second step", starts(effects), []string{name(1, 1, 0).String() + " 1@r1"})
+	r.started(effects)
+	effects = r.held("r1", nil, []EndedTask{{Number: 2, Task: name(1, 1, 0), Run: 1, How: EndDone}})
+	finishes := of[*FinishJob](effects)
+	if len(finishes) != 1 || finishes[0].Outcome.State != job.Completed {
+		t.Fatalf("finishes = %v, want one that completes", finishes)
+	}
+	state, _ := r.pool.State(id(1))
+	want(t, "state before the outcome is stored", state, job.Running)
+	r.send(&JobSaved{ID: id(1), Seq: finishes[0].Seq, Version: 12, Finished: true})
+	state, _ = r.pool.State(id(1))
+	want(t, "state after", state, job.Completed)
+}
+
+func TestEndIsAcknowledgedOnlyOnceStored(t *testing.T) {
+	r := newRig(t, Options{})
+	r.runners("r1")
+	r.held("r1", nil, nil)
+	two := oneTask()
+	two.Count = 2
+	r.started(r.store(id(1), false, two))
+	r.held("r1", []RunningTask{{Task: name(1, 0, 1), Run: 1}}, []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 1, How: EndDone}})
+	effects := r.pass(holdGap)
+	holds := of[*HoldRunner](effects)
+	if len(holds) != 1 || holds[0].Acknowledged != 0 {
+		t.Fatalf("holds = %+v, want one that acknowledges nothing", holds)
+	}
+	effects = r.pass(saveInterval)
+	saves := of[*SaveJob](effects)
+	if len(saves) != 1 {
+		t.Fatalf("saves = %v, want one", saves)
+	}
+	r.send(&JobSaved{ID: id(1), Seq: saves[0].Seq, Version: 12})
+	r.held("r1", []RunningTask{{Task: name(1, 0, 1), Run: 1}}, nil)
+	holds = of[*HoldRunner](r.pass(holdGap))
+	if len(holds) != 1 || holds[0].Acknowledged != 1 {
+		t.Fatalf("holds = %+v, want one that acknowledges end 1", holds)
+	}
+}
+
+func TestNewOwnerAdoptsRunningTasks(t *testing.T) {
+	r := newRig(t, Options{Epoch: 3, Loading: true})
+	r.runners("r1", "r2")
+	step := oneTask()
+	step.Persistent = true
+	r.store(id(1), true, step)
+	r.send(&JobsLoaded{Present: map[job.ID]bool{id(1): true}, Version: 20})
+	effects := r.held("r1", []RunningTask{{Task: name(1, 0, 0), Run: 4, Percent: 100}}, nil)
+	want(t, "stops", len(of[*StopTask](effects)), 0)
+	effects = append(effects, r.held("r2", nil, nil)...)
+	effects = append(effects, r.pass(time.Second)...)
+	want(t, "starts", starts(effects), []string(nil))
+	effects = r.held("r1", nil, []EndedTask{{Number: 9, Task: name(1, 0, 0), Run: 4, How: EndFailed}})
+	want(t, "next run", starts(effects), []string{name(1, 0, 0).String() + " 20001@r2"})
+}
+
+func TestNewOwnerWaitsForEndsThatItCannotReadYet(t *testing.T) {
+	r := newRig(t, Options{Epoch: 2, Loading: true})
+	r.runners("r1", "r2")
+	r.held("r2", nil, nil)
+	ended := []EndedTask{{Number: 5, Task: name(1, 0, 0), Run: 1, How: EndDone}}
+	r.held("r1", nil, ended)
+	r.store(id(1), true, oneTask())
+	effects := r.send(&JobsLoaded{Present: map[job.ID]bool{id(1): true}, Version: 20})
+	want(t, "starts before the end is read again", starts(effects), []string(nil))
+	effects = r.held("r1", nil, ended)
+	want(t, "starts after", starts(effects), []string(nil))
+	if got := of[*FinishJob](effects); len(got) != 1 {
+		t.Errorf("finishes = %v, want one", got)
+	}
+}
