Count failed runs in any order; end runners only when the list says so

Cause: (1) a new owner that heard of run 2's failure before run 1's counted one of them; (2) the platform confirms an upkeep that was carried out long ago, and the planner took the runner's tasks for lost. Ruled out: late orders (the runner kept its id throughout). Change: failures are a set of run numbers; a runner has ended once the list of instances, asked for after the confirmation, shows another life.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -42,12 +42,8 @@
 	return o, nil
 }
 
-// Failures counts the failed runs of one task.
-type Failures struct {
-	Count int `json:"count"`
-	// LastRun is the highest failed run that is counted.
-	LastRun int `json:"lastRun"`
-}
+// Failures holds the numbers of one task's failed runs.
+type Failures []int
 
 // Progress is the stored form of what a job has reached. Keys are
 // "occurrence.step" for Done and "occurrence.step.index" for Failed.
--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -63,21 +63,13 @@
 	Spare bool
 }
 
-// Options are the settings of a Planner. Zero values take the defaults.
+// Options are the settings of a Planner.
 type Options struct {
 	// OrdersAfter is when the first order may be given, so that it does not
 	// meet one of a former owner.
 	OrdersAfter time.Time
-	UpkeepTime  time.Duration
-	MoveTime    time.Duration
 }
 
-// Defaults of the options.
-const (
-	DefaultUpkeepTime = 2 * time.Second
-	DefaultMoveTime   = 1500 * time.Millisecond
-)
-
 // order is an order for an instance that is not finished.
 type order struct {
 	instance InstanceID
@@ -90,6 +82,8 @@
 	inFlight bool
 	// accepted is when the platform confirmed the order.
 	accepted time.Time
+	// ended is true once the runner is known to be gone.
+	ended bool
 }
 
 // waveState is a wave and what has been reached of it.
@@ -132,12 +126,6 @@
 
 // New returns a planner that knows nothing yet.
 func New(options Options) *Planner {
-	if options.UpkeepTime == 0 {
-		options.UpkeepTime = DefaultUpkeepTime
-	}
-	if options.MoveTime == 0 {
-		options.MoveTime = DefaultMoveTime
-	}
 	return &Planner{
 		options:   options,
 		instances: map[InstanceID]Instance{},
--- /dev/null
+++ b/core/maintenance/maintenance_test.go
@@ -0,0 +1,158 @@
+package maintenance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+)
+
+// fleet drives a Planner in virtual time.
+type fleet struct {
+	t         *testing.T
+	now       time.Time
+	planner   *Planner
+	instances []Instance
+}
+
+func newFleet(t *testing.T, count int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, now: time.Unix(1_000_000, 0), planner: New(Options{})}
+	for i := range count {
+		f.instances = append(f.instances, Instance{
+			ID: InstanceID(fmt.Sprintf("m%d", i)), Pool: "booking", State: Up,
+			Runner: pool.RunnerID(fmt.Sprintf("r%d", i)), Capacity: job.Resources{CPU: 16000},
+		})
+	}
+	f.send(&PoolsChanged{Pools: []PoolSettings{{Name: "booking"}, {Name: "spare", Spare: true}}})
+	return f
+}
+
+func (f *fleet) send(e Event) []Effect {
+	var out []Effect
+	for _, effect := range f.planner.Reduce(f.now, e) {
+		if _, ok := effect.(*Decided); !ok {
+			out = append(out, effect)
+		}
+	}
+	return out
+}
+
+func (f *fleet) list() []Effect {
+	asked := f.now
+	f.now = f.now.Add(5 * time.Millisecond)
+	return f.send(&Listed{Instances: f.instances, Asked: asked})
+}
+
+// report says that all runners are empty and cordoned as asked.
+func (f *fleet) report() {
+	report := pool.Report{Pool: "booking", Recovered: true}
+	cordoned := map[pool.RunnerID]bool{}
+	for _, id := range f.planner.Cordons()["booking"] {
+		cordoned[id] = true
+	}
+	for _, i := range f.instances {
+		report.Runners = append(report.Runners, pool.RunnerReport{
+			Runner: i.Runner, Capacity: i.Capacity, Cordoned: cordoned[i.Runner], Usable: true,
+		})
+	}
+	f.send(&Reported{Report: report})
+}
+
+func (f *fleet) tick() []Effect {
+	f.now = f.now.Add(250 * time.Millisecond)
+	f.report()
+	return f.send(Ticked{})
+}
+
+func upkeeps(effects []Effect) []InstanceID {
+	var out []InstanceID
+	for _, e := range effects {
+		if order, ok := e.(*OrderUpkeep); ok {
+			out = append(out, order.Instance)
+		}
+	}
+	return out
+}
+
+func ended(effects []Effect) int {
+	n := 0
+	for _, e := range effects {
+		if _, ok := e.(*RunnerEnded); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func want(t *testing.T, what string, got, expected any) {
+	t.Helper()
+	if diff := cmp.Diff(expected, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+func TestWaveKeepsMaxCountAndCompletes(t *testing.T) {
+	f := newFleet(t, 6)
+	f.list()
+	var names []InstanceID
+	for _, i := range f.instances {
+		names = append(names, i.ID)
+	}
+	f.send(&WaveSeen{Wave: Wave{Number: 3, Instances: names, MaxCount: 2}})
+	done := map[InstanceID]bool{}
+	down := map[InstanceID]time.Time{}
+	completed := false
+	for range 400 {
+		effects := f.tick()
+		for _, e := range effects {
+			if report, ok := e.(*ReportWave); ok && report.State == waveCompleted {
+				completed = true
+			}
+		}
+		for _, id := range upkeeps(effects) {
+			down[id] = f.now
+			done[id] = true
+			if len(down) > 2 {
+				t.Fatalf("%d instances are down at once", len(down))
+			}
+			f.send(&Ordered{Instance: id, Verdict: Accepted})
+		}
+		for i := range f.instances {
+			began, ok := down[f.instances[i].ID]
+			switch {
+			case !ok:
+			case f.now.Sub(began) > 2*time.Second:
+				delete(down, f.instances[i].ID)
+				f.instances[i].State = Up
+				f.instances[i].Runner += "b"
+			default:
+				f.instances[i].State = Upkeep
+			}
+		}
+		f.list()
+		if completed {
+			break
+		}
+	}
+	want(t, "instances done", len(done), 6)
+	want(t, "completed", completed, true)
+}
+
+func TestRepeatedUpkeepDoesNotEndTheRunner(t *testing.T) {
+	f := newFleet(t, 3)
+	f.list()
+	f.send(&WaveSeen{Wave: Wave{Number: 1, Instances: []InstanceID{"m0"}, MaxCount: 1}})
+	var ordered []InstanceID
+	for range 3 {
+		ordered = append(ordered, upkeeps(f.tick())...)
+	}
+	want(t, "orders", ordered, []InstanceID{"m0"})
+	want(t, "ends at the confirmation", ended(f.send(&Ordered{Instance: "m0", Verdict: Accepted})), 0)
+	f.now = f.now.Add(time.Second)
+	want(t, "ends while the runner is listed as it was", ended(f.list()), 0)
+}
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -22,8 +22,8 @@
 	emptyPatience = 2500 * time.Millisecond
 	// orderRetry is the pause before an order without an answer is sent again.
 	orderRetry = 400 * time.Millisecond
-	// settleTime is how long after its usual time an order is given up on.
-	settleTime = 6 * time.Second
+	// settleTime is how long an instance may take to come back.
+	settleTime = 10 * time.Second
 	// poolShare bounds the part of a pool that is cordoned for waves at once.
 	poolShare = 3
 )
@@ -78,21 +78,21 @@
 	p.settleOrders(now)
 }
 
-// settleOrders drops the orders whose effect is over.
+// settleOrders follows the orders that the platform has confirmed. Confirmation
+// alone does not say that the runner has ended: an order that was carried out
+// before is confirmed as well.
 func (p *Planner) settleOrders(now time.Time) {
 	for id, o := range p.orders {
+		if o.inFlight || o.accepted.IsZero() || !p.listedAt.After(o.accepted) {
+			continue
+		}
 		instance, listed := p.instances[id]
-		usual := p.options.UpkeepTime
-		if o.target != "" {
-			usual = p.options.MoveTime
+		same := listed && instance.Runner == o.runner
+		if !o.ended && (!same || instance.State != Up) {
+			o.ended = true
+			p.emit(&RunnerEnded{Pool: o.from, Runner: o.runner})
 		}
-		switch {
-		case o.inFlight || o.accepted.IsZero():
-		case !listed:
-			delete(p.orders, id)
-		case instance.State == Up && instance.Runner != o.runner && p.listedAt.After(o.accepted):
-			delete(p.orders, id)
-		case now.Sub(o.accepted) > usual+settleTime:
+		if !listed || instance.State == Up || now.Sub(o.accepted) > settleTime {
 			delete(p.orders, id)
 		}
 	}
@@ -299,7 +299,7 @@
 	case Accepted:
 		o.accepted = now
 		delete(p.cordons, e.Instance)
-		p.emit(&RunnerEnded{Pool: o.from, Runner: o.runner})
+		p.listNext = now
 		if w := p.waves[o.wave]; w != nil && o.target == "" {
 			w.begun[e.Instance] = true
 			p.emit(&SaveWave{Wave: w.Number, Begun: slices.Sorted(maps.Keys(w.begun))})
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"bronzestair/core/job"
@@ -202,13 +203,12 @@
 		t.avoid = r.ID
 		p.freeTask(now, t)
 	}
-	if t.step.spec.Persistent || t.state == done || t.job.outcome != "" || end.Run <= t.failed {
+	if t.step.spec.Persistent || t.state == done || t.job.outcome != "" || slices.Contains(t.failed, end.Run) {
 		return 0
 	}
-	t.failed = end.Run
-	t.fails++
+	t.failed = append(t.failed, end.Run)
 	seq := t.job.touch(now)
-	if t.fails >= p.queue(t.job.record.Queue).MaxAttempts {
+	if len(t.failed) >= p.queue(t.job.record.Queue).MaxAttempts {
 		p.failJob(now, t)
 	}
 	return seq
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bronzestair/core/job"
@@ -32,8 +33,7 @@
 	step   *stepState
 	state  taskState
 	run    int
-	fails  int
-	failed int // the highest failed run that is counted
+	failed job.Failures
 	saved  string
 	runner *runnerState
 	// avoid is where the last run failed.
@@ -204,9 +204,9 @@
 					t.state = done
 					step.remaining--
 				}
-				if f, ok := progress.Failed[taskKey(t.id)]; ok {
-					t.fails, t.failed = f.Count, f.LastRun
-					t.run = max(t.run, f.LastRun)
+				if f := progress.Failed[taskKey(t.id)]; len(f) > 0 {
+					t.failed = f
+					t.run = max(t.run, slices.Max(f))
 				}
 			}
 		}
@@ -230,8 +230,8 @@
 				if t.state == done {
 					bitmap.Set(i)
 				}
-				if t.fails > 0 && t.state != done {
-					out.Failed[taskKey(t.id)] = job.Failures{Count: t.fails, LastRun: t.failed}
+				if len(t.failed) > 0 && t.state != done {
+					out.Failed[taskKey(t.id)] = slices.Clone(t.failed)
 				}
 			}
 			if len(bitmap) > 0 {
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -201,3 +201,19 @@
 		t.Errorf("finishes = %v, want one", got)
 	}
 }
+
+func TestFailuresAreCountedInAnyOrder(t *testing.T) {
+	r := newRig(t, Options{Epoch: 2, Loading: true})
+	r.runners("r1", "r2")
+	r.store(id(1), true, oneTask())
+	r.send(&JobsLoaded{Present: map[job.ID]bool{id(1): true}, Version: 20})
+	effects := r.held("r1", nil, []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 2, How: EndFailed}})
+	effects = append(effects, r.held("r2", nil, []EndedTask{
+		{Number: 4, Task: name(1, 0, 0), Run: 1, How: EndFailed},
+		{Number: 5, Task: name(1, 0, 0), Run: 3, How: EndFailed},
+	})...)
+	want(t, "starts", starts(effects), []string(nil))
+	if got := of[*FinishJob](effects); len(got) != 1 || got[0].Outcome.State != job.Failed {
+		t.Errorf("finishes = %v, want one that fails", got)
+	}
+}
--- a/manager/fleet.go
+++ b/manager/fleet.go
@@ -62,7 +62,7 @@
 // run plans until the context ends.
 func (f *fleetOwner) run(ctx context.Context) {
 	defer close(f.done)
-	options := maintenance.Options{UpkeepTime: f.m.options.UpkeepTime, MoveTime: f.m.options.MoveTime}
+	var options maintenance.Options
 	if f.tenure.Previous != "" {
 		pause := f.m.options.HolderPause
 		if pause == 0 {
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -80,8 +80,6 @@
 	LeaseMax    time.Duration
 	StopTime    time.Duration
 	PaceTime    time.Duration
-	UpkeepTime  time.Duration
-	MoveTime    time.Duration
 	HolderPause time.Duration
 	Logger      *slog.Logger
 	Meter       Meter
