Move idle instances to the pools that ask for more

Cause: each queue in its turn asks for five times its mean, more than its pool holds, while the other pools idle. Ruled out: order within a pool (the backlog lasts longer than a job's slack). Change: the planner cordons idle instances of pools with an excess and of the spare, and moves them once they are empty.

--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -108,7 +108,7 @@
 	cordons   map[InstanceID]cordon
 	reports   map[job.PoolName]poolReport
 	pools     map[job.PoolName]PoolSettings
-	surplus   map[job.PoolName]time.Time
+	demands   map[job.PoolName]demand
 	effects   []Effect
 }
 
@@ -134,7 +134,7 @@
 		cordons:   map[InstanceID]cordon{},
 		reports:   map[job.PoolName]poolReport{},
 		pools:     map[job.PoolName]PoolSettings{},
-		surplus:   map[job.PoolName]time.Time{},
+		demands:   map[job.PoolName]demand{},
 	}
 }
 
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -1,6 +1,220 @@
 package maintenance
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
 
-// planMoves moves instances between pools as demand changes.
-func (p *Planner) planMoves(time.Time) {}
+	"bronzestair/core/job"
+)
+
+// Moves between pools. They answer demand that comes by turns: one queue asks
+// for more than its pool holds while the others' pools idle.
+const (
+	// keepInstances stay in a pool that asks for less, so that its next turn
+	// does not begin with nothing.
+	keepInstances = 4
+	// spareInstances are kept beyond what is asked for.
+	spareInstances = 1
+	// demandMemory is how long a demand counts after it was seen.
+	demandMemory = 1 * time.Second
+)
+
+// balance is what a pool needs and has, in instances.
+type balance struct {
+	name       job.PoolName
+	need, have int
+}
+
+func (b balance) deficit() int { return b.need - b.have }
+
+// demand remembers the highest demand of the last while.
+type demand struct {
+	need int
+	at   time.Time
+}
+
+// planMoves moves idle instances to the pools that ask for more than they have.
+func (p *Planner) planMoves(now time.Time) {
+	balances, ok := p.balances(now)
+	if !ok {
+		return
+	}
+	p.dropMoveCordons(balances)
+	slices.SortFunc(balances, func(a, b balance) int {
+		return cmp.Or(cmp.Compare(b.deficit(), a.deficit()), cmp.Compare(a.name, b.name))
+	})
+	for _, b := range balances {
+		missing := b.deficit() - p.cordonedFor(b.name)
+		for ; missing > 0; missing-- {
+			if !p.cordonOneFor(now, b.name, balances) {
+				break
+			}
+		}
+	}
+	p.orderMoves(now)
+}
+
+// balances returns the balance of every pool that jobs run on, and false while
+// the load of any is not known.
+func (p *Planner) balances(now time.Time) ([]balance, bool) {
+	var out []balance
+	for _, name := range slices.Sorted(maps.Keys(p.pools)) {
+		if p.pools[name].Spare {
+			continue
+		}
+		report := p.reports[name]
+		if report.at.IsZero() || now.Sub(report.at) > reportAge || !report.Recovered {
+			return nil, false
+		}
+		out = append(out, balance{name: name, need: p.need(now, &report), have: p.have(name)})
+	}
+	return out, true
+}
+
+// need returns how many instances a pool asks for.
+func (p *Planner) need(now time.Time, report *poolReport) int {
+	need := 0
+	if capacity := p.typicalCapacity(); capacity > 0 {
+		asked := report.Running + report.Ready
+		need = int((asked+capacity-1)/capacity) + spareInstances
+	}
+	need = max(need, keepInstances)
+	last := p.demands[report.Pool]
+	if need >= last.need || now.Sub(last.at) > demandMemory {
+		p.demands[report.Pool] = demand{need: need, at: now}
+		return need
+	}
+	return last.need
+}
+
+// typicalCapacity returns the mean processor time of the listed instances.
+func (p *Planner) typicalCapacity() job.Milli {
+	var sum job.Milli
+	for _, instance := range p.instances {
+		sum += instance.Capacity.CPU
+	}
+	if len(p.instances) == 0 {
+		return 0
+	}
+	return sum / job.Milli(len(p.instances))
+}
+
+// have counts the instances that a pool has or will have soon.
+func (p *Planner) have(name job.PoolName) int {
+	n := 0
+	for id, instance := range p.instances {
+		if o := p.orders[id]; o != nil && o.target != "" {
+			continue
+		}
+		if instance.Pool == name && instance.State != Down {
+			n++
+		}
+	}
+	for _, o := range p.orders {
+		if o.target == name {
+			n++
+		}
+	}
+	for id, c := range p.cordons {
+		if c.target != "" && c.target != name && p.instances[id].Pool == name && p.orders[id] == nil {
+			n--
+		}
+	}
+	return n
+}
+
+// cordonedFor counts the instances that are being emptied for a pool.
+func (p *Planner) cordonedFor(name job.PoolName) int {
+	n := 0
+	for id, c := range p.cordons {
+		if c.target == name && p.orders[id] == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// dropMoveCordons frees instances whose target no longer needs them.
+func (p *Planner) dropMoveCordons(balances []balance) {
+	for _, b := range balances {
+		excess := p.cordonedFor(b.name) - max(0, b.deficit())
+		for _, id := range slices.Sorted(maps.Keys(p.cordons)) {
+			if excess <= 0 {
+				break
+			}
+			if c := p.cordons[id]; c.target == b.name && p.orders[id] == nil {
+				delete(p.cordons, id)
+				excess--
+			}
+		}
+	}
+}
+
+// cordonOneFor cordons the instance that is given up most easily, and reports
+// whether there is one.
+func (p *Planner) cordonOneFor(now time.Time, target job.PoolName, balances []balance) bool {
+	excess := map[job.PoolName]int{}
+	for _, b := range balances {
+		excess[b.name] = -b.deficit()
+	}
+	for id, c := range p.cordons {
+		if c.target != "" && p.orders[id] == nil {
+			excess[p.instances[id].Pool]--
+		}
+	}
+	var best *Instance
+	bestEffort := 0
+	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
+		instance := p.instances[id]
+		effort, ok := p.movable(instance, target, excess)
+		if ok && (best == nil || effort < bestEffort) {
+			best, bestEffort = &instance, effort
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.cordons[best.ID] = cordon{since: now, target: target}
+	return true
+}
+
+// movable reports whether an instance may be given to a pool, and what it takes.
+func (p *Planner) movable(i Instance, target job.PoolName, excess map[job.PoolName]int) (int, bool) {
+	if i.State != Up || i.Pool == target || p.orders[i.ID] != nil {
+		return 0, false
+	}
+	if _, cordoned := p.cordons[i.ID]; cordoned {
+		return 0, false
+	}
+	if p.pools[i.Pool].Spare {
+		return 0, true
+	}
+	line := p.line(i)
+	if excess[i.Pool] <= 0 || line == nil || line.Persistent > 0 {
+		return 0, false
+	}
+	return 1 + int(line.Used.CPU), true
+}
+
+// orderMoves moves the cordoned instances that are empty.
+func (p *Planner) orderMoves(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(p.cordons)) {
+		c := p.cordons[id]
+		instance, listed := p.instances[id]
+		if c.target == "" || p.orders[id] != nil {
+			continue
+		}
+		if !listed || instance.State != Up || instance.Pool == c.target {
+			delete(p.cordons, id)
+			continue
+		}
+		if !p.emptied(now, instance) {
+			continue
+		}
+		p.orders[id] = &order{instance: id, target: c.target, from: instance.Pool, runner: instance.Runner, sent: now, inFlight: true}
+		p.emit(&Decided{Instance: id, What: "moveOrdered", Reason: string(instance.Pool) + " to " + string(c.target), DataAge: now.Sub(p.listedAt)})
+		p.emit(&OrderMove{Instance: id, Target: c.target})
+	}
+}
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -45,6 +45,9 @@
 // apply implements Event.
 func (e *Reported) apply(p *Planner, now time.Time) {
 	p.reports[e.Report.Pool] = poolReport{Report: e.Report, at: now}
+	if !p.listedAt.IsZero() && !now.Before(p.options.OrdersAfter) {
+		p.orderMoves(now)
+	}
 }
 
 // apply implements Event.
