Leave a pool the instances over which its steps are spread

Change: pools report their widest spread and their memory; a pool keeps that many instances and two more.

--- a/core/maintenance/maintenance_test.go
+++ b/core/maintenance/maintenance_test.go
@@ -25,7 +25,7 @@
 	for i := range count {
 		f.instances = append(f.instances, Instance{
 			ID: InstanceID(fmt.Sprintf("m%d", i)), Pool: "booking", State: Up,
-			Runner: pool.RunnerID(fmt.Sprintf("r%d", i)), Capacity: job.Resources{CPU: 16000},
+			Runner: pool.RunnerID(fmt.Sprintf("r%d", i)), Capacity: job.Resources{CPU: 16000, Memory: 65536},
 		})
 	}
 	f.send(&PoolsChanged{Pools: []PoolSettings{{Name: "booking"}, {Name: "spare", Spare: true}}})
@@ -156,3 +156,41 @@
 	f.now = f.now.Add(time.Second)
 	want(t, "ends while the runner is listed as it was", ended(f.list()), 0)
 }
+
+// moves names the moves among effects as "instance to pool".
+func moves(effects []Effect) []string {
+	var out []string
+	for _, e := range effects {
+		if order, ok := e.(*OrderMove); ok {
+			out = append(out, string(order.Instance)+" to "+string(order.Target))
+		}
+	}
+	return out
+}
+
+// TestPoolKeepsInstancesForSpreadStep replays a pool with a step of eight tasks
+// that must lie apart, beside one in its turn.
+func TestPoolKeepsInstancesForSpreadStep(t *testing.T) {
+	f := newFleet(t, 12)
+	f.send(&PoolsChanged{Pools: []PoolSettings{{Name: "booking"}, {Name: "transport"}}})
+	f.list()
+	for range 8 {
+		f.now = f.now.Add(250 * time.Millisecond)
+		report := pool.Report{Pool: "booking", Recovered: true, Spread: 8}
+		for _, i := range f.instances {
+			report.Runners = append(report.Runners, pool.RunnerReport{Runner: i.Runner, Capacity: i.Capacity, Cordoned: true, Usable: true})
+		}
+		f.send(&Reported{Report: report})
+		f.send(&Reported{Report: pool.Report{Pool: "transport", Recovered: true, Ready: 400_000}})
+		for _, m := range moves(f.send(Ticked{})) {
+			f.send(&Ordered{Instance: InstanceID(m[:2]), Verdict: Accepted})
+		}
+	}
+	gone := 0
+	for _, o := range f.planner.orders {
+		if o.target == "transport" {
+			gone++
+		}
+	}
+	want(t, "instances moved", gone, 12-8-spreadReserve)
+}
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -17,6 +17,9 @@
 	keepInstances = 4
 	// spareInstances are kept beyond what is asked for.
 	spareInstances = 1
+	// spreadReserve is kept beside the instances over which a step is spread: one
+	// may be in upkeep and another lost.
+	spreadReserve = 2
 	// demandMemory is how long a demand counts after it was seen.
 	demandMemory = 1 * time.Second
 )
@@ -75,12 +78,16 @@
 
 // need returns how many instances a pool asks for.
 func (p *Planner) need(now time.Time, report *poolReport) int {
-	need := 0
-	if capacity := p.typicalCapacity(); capacity > 0 {
-		asked := report.Running + report.Ready
-		need = int((asked+capacity-1)/capacity) + spareInstances
+	need := keepInstances
+	capacity := p.typicalCapacity()
+	if capacity.CPU > 0 && capacity.Memory > 0 {
+		cpu := (report.Running + report.Ready + capacity.CPU - 1) / capacity.CPU
+		memory := (report.RunningMemory + report.ReadyMemory + capacity.Memory - 1) / capacity.Memory
+		need = max(need, int(cpu)+spareInstances, int(memory)+spareInstances)
+	}
+	if report.Spread > 0 {
+		need = max(need, report.Spread+spreadReserve)
 	}
-	need = max(need, keepInstances)
 	last := p.demands[report.Pool]
 	if need >= last.need || now.Sub(last.at) > demandMemory {
 		p.demands[report.Pool] = demand{need: need, at: now}
@@ -89,16 +96,14 @@
 	return last.need
 }
 
-// typicalCapacity returns the mean processor time of the listed instances.
-func (p *Planner) typicalCapacity() job.Milli {
-	var sum job.Milli
+// typicalCapacity returns the mean capacity of the listed instances.
+func (p *Planner) typicalCapacity() job.Resources {
+	var sum job.Resources
 	for _, instance := range p.instances {
-		sum += instance.Capacity.CPU
-	}
-	if len(p.instances) == 0 {
-		return 0
+		sum = sum.Add(instance.Capacity)
 	}
-	return sum / job.Milli(len(p.instances))
+	n := max(1, len(p.instances))
+	return job.Resources{CPU: sum.CPU / job.Milli(n), Memory: sum.Memory / job.MiB(n)}
 }
 
 // have counts the instances that a pool has or will have soon.
--- a/core/pool/evacuate.go
+++ b/core/pool/evacuate.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"bronzestair/core/job"
 )
 
 // evacuate empties cordoned and draining runners of persistent tasks, as far as
@@ -85,45 +83,3 @@
 	t.ordered = now
 	p.emit(&PaceTask{Runner: r.Runner, Task: t.id, Run: t.run, Percent: 100 - slowed, Fence: p.options.Fence})
 }
-
-// RunnerReport is what a pool's owner tells of a runner.
-type RunnerReport struct {
-	Runner RunnerID
-	// Persistent and Passing count the tasks that last and those that end by themselves.
-	Persistent, Passing int
-	Used                job.Resources
-	Capacity            job.Resources
-	Cordoned            bool
-	Usable              bool
-}
-
-// Report is what a pool's owner tells of its pool.
-type Report struct {
-	Pool    job.PoolName
-	Runners []RunnerReport
-	// Running and Ready are the processor time that tasks have and wait for.
-	Running, Ready job.Milli
-	Recovered      bool
-}
-
-// Report returns the pool's load.
-func (p *Pool) Report(now time.Time) Report {
-	report := Report{Pool: p.options.Pool, Recovered: p.recovered(now)}
-	for _, r := range p.runners {
-		line := RunnerReport{
-			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now),
-		}
-		line.Passing = r.countTrials()
-		line.Persistent = len(r.tasks) - line.Passing
-		report.Running += r.used.CPU
-		report.Runners = append(report.Runners, line)
-	}
-	for _, j := range p.jobs {
-		for _, o := range j.occurrences {
-			for _, step := range o.steps {
-				report.Ready += job.Milli(step.ready) * step.spec.Demand().CPU
-			}
-		}
-	}
-	return report
-}
--- /dev/null
+++ b/core/pool/report.go
@@ -0,0 +1,65 @@
+package pool
+
+import (
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// RunnerReport is what a pool's owner tells of a runner.
+type RunnerReport struct {
+	Runner RunnerID
+	// Persistent and Passing count the tasks that last and those that end by themselves.
+	Persistent, Passing int
+	Used                job.Resources
+	Capacity            job.Resources
+	Cordoned            bool
+	Usable              bool
+}
+
+// Report is what a pool's owner tells of its pool.
+type Report struct {
+	Pool    job.PoolName
+	Runners []RunnerReport
+	// Running and Ready are the processor time that tasks have and wait for.
+	Running, Ready job.Milli
+	// RunningMemory and ReadyMemory are the same for memory.
+	RunningMemory, ReadyMemory job.MiB
+	// Spread is how many instances the most widely spread step needs.
+	Spread    int
+	Recovered bool
+}
+
+// Report returns the pool's load.
+func (p *Pool) Report(now time.Time) Report {
+	report := Report{Pool: p.options.Pool, Recovered: p.recovered(now)}
+	for _, r := range p.runners {
+		line := RunnerReport{
+			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now),
+		}
+		line.Passing = r.countTrials()
+		line.Persistent = len(r.tasks) - line.Passing
+		report.Running += r.used.CPU
+		report.RunningMemory += r.used.Memory
+		report.Runners = append(report.Runners, line)
+	}
+	for _, j := range p.jobs {
+		if j.outcome == "" {
+			report.addJob(j)
+		}
+	}
+	return report
+}
+
+// addJob adds what a job's tasks wait for.
+func (r *Report) addJob(j *jobState) {
+	for _, o := range j.occurrences {
+		for _, step := range o.steps {
+			r.Ready += job.Milli(step.ready) * step.spec.Demand().CPU
+			r.ReadyMemory += job.MiB(step.ready) * step.spec.Demand().Memory
+			if limit := step.spec.MaxPerInstance; limit > 0 && step.open && step.remaining > 0 {
+				r.Spread = max(r.Spread, (step.spec.Count+limit-1)/limit)
+			}
+		}
+	}
+}
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -71,6 +71,7 @@
 func encodeReport(r *pool.Report) *ownerpb.SyncReply {
 	reply := &ownerpb.SyncReply{
 		RunningCpu: int64(r.Running), ReadyCpu: int64(r.Ready), Recovered: r.Recovered,
+		RunningMemory: int64(r.RunningMemory), ReadyMemory: int64(r.ReadyMemory), Spread: int64(r.Spread),
 	}
 	for _, line := range r.Runners {
 		reply.Runners = append(reply.Runners, &ownerpb.SyncReply_Runner{
@@ -85,7 +86,8 @@
 func decodeReport(name job.PoolName, reply *ownerpb.SyncReply) pool.Report {
 	r := pool.Report{
 		Pool: name, Running: job.Milli(reply.GetRunningCpu()), Ready: job.Milli(reply.GetReadyCpu()),
-		Recovered: reply.GetRecovered(),
+		Recovered: reply.GetRecovered(), Spread: int(reply.GetSpread()),
+		RunningMemory: job.MiB(reply.GetRunningMemory()), ReadyMemory: job.MiB(reply.GetReadyMemory()),
 	}
 	for _, line := range reply.GetRunners() {
 		r.Runners = append(r.Runners, pool.RunnerReport{
