Take no instance for empty whose owner has not heard it

Cause: a new owner reports no tasks on runners that it has not heard yet; the planner began upkeeps there and ended persistent tasks (AVAIL). Ruled out: the evacuation itself (it never stopped more than the step may miss). Change: only a recovered owner's report on a runner that it has heard counts, and only for 600 ms.

--- a/core/maintenance/maintenance_test.go
+++ b/core/maintenance/maintenance_test.go
@@ -57,7 +57,7 @@
 	}
 	for _, i := range f.instances {
 		report.Runners = append(report.Runners, pool.RunnerReport{
-			Runner: i.Runner, Capacity: i.Capacity, Cordoned: cordoned[i.Runner], Usable: true,
+			Runner: i.Runner, Capacity: i.Capacity, Cordoned: cordoned[i.Runner], Usable: true, Known: true,
 		})
 	}
 	f.send(&Reported{Report: report})
@@ -178,7 +178,7 @@
 		f.now = f.now.Add(250 * time.Millisecond)
 		report := pool.Report{Pool: "booking", Recovered: true, Spread: 8}
 		for _, i := range f.instances {
-			report.Runners = append(report.Runners, pool.RunnerReport{Runner: i.Runner, Capacity: i.Capacity, Cordoned: true, Usable: true})
+			report.Runners = append(report.Runners, pool.RunnerReport{Runner: i.Runner, Capacity: i.Capacity, Cordoned: true, Usable: true, Known: true})
 		}
 		f.send(&Reported{Report: report})
 		f.send(&Reported{Report: pool.Report{Pool: "transport", Recovered: true, Ready: 400_000}})
@@ -194,3 +194,25 @@
 	}
 	want(t, "instances moved", gone, 12-8-spreadReserve)
 }
+
+func TestInstanceIsNotEmptyForAnOwnerThatHasNotHeardIt(t *testing.T) {
+	cases := map[string]pool.Report{
+		"loading":    {Pool: "booking", Runners: []pool.RunnerReport{{Runner: "r0", Cordoned: true, Known: true}}},
+		"unresolved": {Pool: "booking", Recovered: true, Runners: []pool.RunnerReport{{Runner: "r0", Cordoned: true}}},
+		"persistent": {Pool: "booking", Recovered: true, Runners: []pool.RunnerReport{{Runner: "r0", Cordoned: true, Known: true, Persistent: 1}}},
+	}
+	for name, report := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.list()
+			f.send(&WaveSeen{Wave: Wave{Number: 1, Instances: []InstanceID{"m0"}, MaxCount: 1}})
+			var ordered []InstanceID
+			for range 20 {
+				f.now = f.now.Add(250 * time.Millisecond)
+				f.send(&Reported{Report: report})
+				ordered = append(ordered, upkeeps(f.send(Ticked{}))...)
+			}
+			want(t, "orders", ordered, []InstanceID(nil))
+		})
+	}
+}
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -197,7 +197,7 @@
 		return 0, true
 	}
 	line := p.line(i)
-	if excess[i.Pool] <= 0 || line == nil || line.Persistent > 0 {
+	if excess[i.Pool] <= 0 || line == nil || !line.Known || line.Persistent > 0 {
 		return 0, false
 	}
 	return 1 + int(line.Used.CPU), true
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -18,6 +18,8 @@
 	idleListInterval = 2 * time.Second
 	// reportAge is how old a pool's report may be.
 	reportAge = 1500 * time.Millisecond
+	// emptyAge is how old a report may be that says an instance is empty.
+	emptyAge = 600 * time.Millisecond
 	// emptyPatience is how long tasks that end by themselves are waited for.
 	emptyPatience = 2500 * time.Millisecond
 	// orderRetry is the pause before an order without an answer is sent again.
@@ -241,14 +243,14 @@
 		return true
 	}
 	report := p.reports[i.Pool]
-	if report.at.IsZero() || now.Sub(report.at) > reportAge {
+	if report.at.IsZero() || now.Sub(report.at) > emptyAge || !report.Recovered {
 		return false
 	}
 	line := p.line(i)
 	if line == nil {
-		return report.Recovered
+		return true
 	}
-	if !line.Cordoned || line.Persistent > 0 {
+	if !line.Known || !line.Cordoned || line.Persistent > 0 {
 		return false
 	}
 	return line.Passing == 0 || now.Sub(p.cordons[i.ID].since) > emptyPatience
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -15,6 +15,8 @@
 	Capacity            job.Resources
 	Cordoned            bool
 	Usable              bool
+	// Known is false while the owner has not heard what the runner runs.
+	Known bool
 }
 
 // Report is what a pool's owner tells of its pool.
@@ -35,7 +37,7 @@
 	report := Report{Pool: p.options.Pool, Recovered: p.recovered(now)}
 	for _, r := range p.runners {
 		line := RunnerReport{
-			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now),
+			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now), Known: r.resolved,
 		}
 		line.Passing = r.countTrials()
 		line.Persistent = len(r.tasks) - line.Passing
