Read the runners' changes in batches

Change: 200 ms between two reads of the feed, 800 ms on entries without a pool. Conclusion: well within the 2 s for a draining runner.

--- a/manager/follow.go
+++ b/manager/follow.go
@@ -20,6 +20,10 @@
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
+	// runnerPause is well below the time after which a draining runner must get
+	// no more tasks, 2 s; entries that own no pool take longer.
+	runnerPause     = 200 * time.Millisecond
+	idleRunnerPause = 800 * time.Millisecond
 	// returnGrace is how long runners that lapsed while the store was away may
 	// take to register again.
 	returnGrace = 2 * time.Second
@@ -38,8 +42,20 @@
 	return b
 }
 
-// follow hands all rows of a table's empty part to apply, and then their changes.
-func (m *Manager) follow(ctx context.Context, name string, apply func(context.Context, changes)) {
+// runnerPause returns the pause between two reads of the runners' changes, which
+// each heartbeat is one of.
+func (m *Manager) runnerPause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.pools) == 0 {
+		return idleRunnerPause
+	}
+	return runnerPause
+}
+
+// follow hands all rows of a table's empty part to apply, and then their
+// changes, with a pause after each answer that collects more of them.
+func (m *Manager) follow(ctx context.Context, name string, rest func() time.Duration, apply func(context.Context, changes)) {
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		rows, version, err := m.readPart(ctx, name, "")
@@ -50,12 +66,12 @@
 		}
 		pause.Reset()
 		apply(ctx, changes{rows: rows, full: true})
-		m.followFrom(ctx, name, version, apply)
+		m.followFrom(ctx, name, version, rest, apply)
 	}
 }
 
 // followFrom hands changes to apply until the history is lost.
-func (m *Manager) followFrom(ctx context.Context, name string, after table.Version, apply func(context.Context, changes)) {
+func (m *Manager) followFrom(ctx context.Context, name string, after table.Version, rest func() time.Duration, apply func(context.Context, changes)) {
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		page, err := m.store.Feed(ctx, name, after, feedWait)
@@ -76,6 +92,7 @@
 		}
 		after = page.Version
 		apply(ctx, changes{rows: page.Rows})
+		sleep(ctx, rest())
 	}
 }
 
@@ -183,11 +200,3 @@
 	}
 	return event
 }
-
-// followPaced is followFrom with a pause after each answer, which collects changes.
-func (m *Manager) followPaced(ctx context.Context, name string, after table.Version, pause time.Duration, apply func(context.Context, changes)) {
-	m.followFrom(ctx, name, after, func(ctx context.Context, c changes) {
-		apply(ctx, c)
-		sleep(ctx, pause)
-	})
-}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -160,11 +160,11 @@
 	m.mu.Unlock()
 	group.Go(func() error { return m.peers.Serve(ctx, peers) })
 	group.Go(func() error {
-		m.follow(ctx, m.records.OperatorTable(), m.applyOperatorRows)
+		m.follow(ctx, m.records.OperatorTable(), func() time.Duration { return 0 }, m.applyOperatorRows)
 		return nil
 	})
 	group.Go(func() error {
-		m.follow(ctx, m.records.RunnerTable(), m.applyRunnerRows)
+		m.follow(ctx, m.records.RunnerTable(), m.runnerPause, m.applyRunnerRows)
 		return nil
 	})
 	group.Go(func() error {
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -237,7 +237,7 @@
 			continue
 		}
 		o.submit(&pool.JobsLoaded{Present: present, Version: pool.RowVersion(version)})
-		o.m.followPaced(ctx, jobTable, version, jobFeedPause, o.applyJobRows)
+		o.m.followFrom(ctx, jobTable, version, func() time.Duration { return jobFeedPause }, o.applyJobRows)
 		pause.Reset()
 	}
 }
