Ask for instances by the work that arrives; fill idle pools; pace waves

Cause: a pool in its turn asked step by step, as far as its few instances let work queue up, and the next turn began with four instances. Ruled out: the platform's time for a move (1.5 s, orders answered at once). Change: pools report the rate of arriving work and the backlog; instances that idle go back to pools below a base of eight; a wave takes as many instances at a time as it needs to end within 0.7 of its time.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -153,6 +153,14 @@
 	return r
 }
 
+// Work estimates one task's work in thousandths of a core times seconds.
+func (s *Step) Work() float64 {
+	if s.Persistent || s.Fills {
+		return 0
+	}
+	return float64(s.CPU) * s.EstimatedRuntime.Seconds()
+}
+
 // Repeat says when the occurrences of a job are due. A zero Count means that
 // the job runs once and at once.
 type Repeat struct {
--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -109,6 +109,7 @@
 	reports   map[job.PoolName]poolReport
 	pools     map[job.PoolName]PoolSettings
 	demands   map[job.PoolName]demand
+	idleSince map[job.PoolName]time.Time
 	effects   []Effect
 }
 
@@ -135,6 +136,7 @@
 		reports:   map[job.PoolName]poolReport{},
 		pools:     map[job.PoolName]PoolSettings{},
 		demands:   map[job.PoolName]demand{},
+		idleSince: map[job.PoolName]time.Time{},
 	}
 }
 
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -15,6 +15,16 @@
 	// keepInstances stay in a pool that asks for less, so that its next turn
 	// does not begin with nothing.
 	keepInstances = 4
+	// baseInstances are what idle pools are filled up to: any may be the next to
+	// have its turn.
+	baseInstances = 8
+	// headroom is asked for beyond the work that arrives, as estimates are rough.
+	headroom = 1.3
+	// backlogTime is within how long waiting work is to begin.
+	backlogTime = 1500 * time.Millisecond
+	// idleTime is how long a pool asks for less than it has before it gives up
+	// instances that no other pool asks for.
+	idleTime = 1500 * time.Millisecond
 	// spareInstances are kept beyond what is asked for.
 	spareInstances = 1
 	// spreadReserve is kept beside the instances over which a step is spread: one
@@ -56,9 +66,69 @@
 			}
 		}
 	}
+	p.spread(now, balances)
 	p.orderMoves(now)
 }
 
+// spread fills idle pools up to the base and moves what is left to the spare.
+func (p *Planner) spread(now time.Time, balances []balance) {
+	var spare job.PoolName
+	for name, settings := range p.pools {
+		if settings.Spare {
+			spare = name
+		}
+	}
+	if spare == "" {
+		return
+	}
+	for _, b := range balances {
+		limit := max(b.need, baseInstances)
+		if b.have <= limit {
+			delete(p.idleSince, b.name)
+			continue
+		}
+		if _, ok := p.idleSince[b.name]; !ok {
+			p.idleSince[b.name] = now
+		}
+		if now.Sub(p.idleSince[b.name]) < idleTime {
+			continue
+		}
+		for range b.have - limit {
+			if !p.cordonFrom(now, b.name, p.poorest(balances, spare)) {
+				break
+			}
+		}
+	}
+}
+
+// poorest returns the pool that is furthest below the base, or the spare.
+func (p *Planner) poorest(balances []balance, spare job.PoolName) job.PoolName {
+	best, missing := spare, 0
+	for _, b := range balances {
+		if short := baseInstances - b.have - p.cordonedFor(b.name); short > missing {
+			best, missing = b.name, short
+		}
+	}
+	return best
+}
+
+// cordonFrom cordons an idle instance of a pool for another pool.
+func (p *Planner) cordonFrom(now time.Time, from, target job.PoolName) bool {
+	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
+		instance := p.instances[id]
+		if instance.Pool != from || instance.State != Up || p.orders[id] != nil {
+			continue
+		}
+		line := p.line(instance)
+		if _, cordoned := p.cordons[id]; cordoned || line == nil || !line.Known || line.Persistent > 0 || line.Passing > 0 {
+			continue
+		}
+		p.cordons[id] = cordon{since: now, target: target}
+		return true
+	}
+	return false
+}
+
 // balances returns the balance of every pool that jobs run on, and false while
 // the load of any is not known.
 func (p *Planner) balances(now time.Time) ([]balance, bool) {
@@ -81,7 +151,8 @@
 	need := keepInstances
 	capacity := p.typicalCapacity()
 	if capacity.CPU > 0 && capacity.Memory > 0 {
-		cpu := (report.Running + report.Ready + capacity.CPU - 1) / capacity.CPU
+		asked := max(report.Running+report.Ready, job.Milli(headroom*float64(report.Arriving))+job.Milli(float64(report.Backlog)/backlogTime.Seconds()))
+		cpu := (asked + capacity.CPU - 1) / capacity.CPU
 		memory := (report.RunningMemory + report.ReadyMemory + capacity.Memory - 1) / capacity.Memory
 		need = max(need, int(cpu)+spareInstances, int(memory)+spareInstances)
 	}
@@ -144,7 +215,7 @@
 // dropMoveCordons frees instances whose target no longer needs them.
 func (p *Planner) dropMoveCordons(balances []balance) {
 	for _, b := range balances {
-		excess := p.cordonedFor(b.name) - max(0, b.deficit())
+		excess := p.cordonedFor(b.name) - max(0, b.deficit(), baseInstances-b.have)
 		for _, id := range slices.Sorted(maps.Keys(p.cordons)) {
 			if excess <= 0 {
 				break
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -26,6 +26,10 @@
 	orderRetry = 400 * time.Millisecond
 	// settleTime is how long an instance may take to come back.
 	settleTime = 10 * time.Second
+	// upkeepCycle is about how long an upkeep takes with emptying and returning.
+	upkeepCycle = 3500 * time.Millisecond
+	// waveShare is the part of a wave's time in which it is planned to end.
+	waveShare = 0.7
 	// poolShare bounds the part of a pool that is cordoned for waves at once.
 	poolShare = 3
 )
@@ -156,9 +160,10 @@
 		w.reported = waveRunning
 		p.emit(&ReportWave{Wave: w.Number, State: waveRunning})
 	}
-	room := w.MaxCount - p.underWay(w, func(*order) bool { return true })
+	count := w.paced(now, len(left))
+	room := count - p.underWay(w, func(*order) bool { return true })
 	cordoned := map[job.PoolName]int{}
-	ahead := room + w.MaxCount
+	ahead := room + count
 	for _, instance := range left {
 		if p.orders[instance.ID] != nil {
 			continue
@@ -177,6 +182,17 @@
 	}
 }
 
+// paced returns how many instances may be down at once so that the wave is
+// over in good time without taking more capacity than needed.
+func (w *waveState) paced(now time.Time, left int) int {
+	remaining := time.Duration(waveShare*float64(w.Duration)) - now.Sub(w.since)
+	if remaining <= 0 {
+		return w.MaxCount
+	}
+	needed := (time.Duration(left)*upkeepCycle + remaining - 1) / remaining
+	return min(w.MaxCount, max(1, int(needed)))
+}
+
 // left returns the instances that have not begun their upkeep, the easiest first.
 func (p *Planner) left(w *waveState) []Instance {
 	var out []Instance
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -128,6 +128,9 @@
 		j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
 	}
 	p.jobs[id] = j
+	if !j.inherited {
+		p.arrivals.add(now, &e.Record.Spec)
+	}
 	if e.Progress != nil {
 		j.begun = true
 		j.finishedOccurrences = e.Progress.Finished
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -99,10 +99,11 @@
 	queues  map[job.QueueName]QueueSettings
 	jobs    map[job.ID]*jobState
 	// ended keeps the outcomes of jobs for as long as callers may ask.
-	ended   map[job.ID]job.Outcome
-	runners map[RunnerID]*runnerState
-	tickets map[string]*stepTickets
-	listed  bool
+	ended    map[job.ID]job.Outcome
+	runners  map[RunnerID]*runnerState
+	tickets  map[string]*stepTickets
+	listed   bool
+	arrivals arrivals
 
 	deposed bool
 	// changed is true if a task may have become placeable since the last dispatch.
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -25,6 +25,9 @@
 	Runners []RunnerReport
 	// Running and Ready are the processor time that tasks have and wait for.
 	Running, Ready job.Milli
+	// Arriving is the work that came in lately, in processor time per time, and
+	// Backlog the work that has not begun, in processor time times a second.
+	Arriving, Backlog job.Milli
 	// RunningMemory and ReadyMemory are the same for memory.
 	RunningMemory, ReadyMemory job.MiB
 	// Spread is how many instances the most widely spread step needs.
@@ -50,6 +53,7 @@
 			report.addJob(j)
 		}
 	}
+	report.Arriving = p.arrivals.rate(now)
 	return report
 }
 
@@ -57,6 +61,7 @@
 func (r *Report) addJob(j *jobState) {
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
+			r.Backlog += job.Milli(float64(step.notBegun()) * step.spec.Work())
 			r.Ready += job.Milli(step.ready) * step.spec.Demand().CPU
 			r.ReadyMemory += job.MiB(step.ready) * step.spec.Demand().Memory
 			if limit := step.spec.MaxPerInstance; limit > 0 && step.open && step.remaining > 0 {
@@ -65,3 +70,55 @@
 		}
 	}
 }
+
+// notBegun counts the tasks that are neither running nor done.
+func (s *stepState) notBegun() int {
+	n := 0
+	for i := range s.tasks {
+		if st := s.tasks[i].state; st == waiting || st == ready {
+			n++
+		}
+	}
+	return n
+}
+
+// arrivalWindow is over how long the rate of arriving work is taken: long enough
+// for a few jobs in a turn, short against the turn's seconds.
+const arrivalWindow = 800 * time.Millisecond
+
+// arrivals measures the work that comes in. The zero value has seen none.
+type arrivals struct {
+	seen []arrival
+}
+
+type arrival struct {
+	at   time.Time
+	work float64
+}
+
+// add notes a job.
+func (a *arrivals) add(now time.Time, spec *job.Spec) {
+	if spec.Persistent() {
+		return
+	}
+	work := 0.0
+	for i := range spec.Steps {
+		work += float64(spec.Steps[i].Count) * spec.Steps[i].Work()
+	}
+	a.seen = append(a.seen, arrival{at: now, work: work})
+}
+
+// rate returns the work per time over the window.
+func (a *arrivals) rate(now time.Time) job.Milli {
+	n := 0
+	sum := 0.0
+	for _, s := range a.seen {
+		if now.Sub(s.at) > arrivalWindow {
+			n++
+			continue
+		}
+		sum += s.work
+	}
+	a.seen = a.seen[n:]
+	return job.Milli(sum / arrivalWindow.Seconds())
+}
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -72,6 +72,7 @@
 	reply := &ownerpb.SyncReply{
 		RunningCpu: int64(r.Running), ReadyCpu: int64(r.Ready), Recovered: r.Recovered,
 		RunningMemory: int64(r.RunningMemory), ReadyMemory: int64(r.ReadyMemory), Spread: int64(r.Spread),
+		Arriving: int64(r.Arriving), Backlog: int64(r.Backlog),
 	}
 	for _, line := range r.Runners {
 		reply.Runners = append(reply.Runners, &ownerpb.SyncReply_Runner{
@@ -87,6 +88,7 @@
 	r := pool.Report{
 		Pool: name, Running: job.Milli(reply.GetRunningCpu()), Ready: job.Milli(reply.GetReadyCpu()),
 		Recovered: reply.GetRecovered(), Spread: int(reply.GetSpread()),
+		Arriving: job.Milli(reply.GetArriving()), Backlog: job.Milli(reply.GetBacklog()),
 		RunningMemory: job.MiB(reply.GetRunningMemory()), ReadyMemory: job.MiB(reply.GetReadyMemory()),
 	}
 	for _, line := range reply.GetRunners() {
