Let silent runners lose their leases, and count their tasks as away

Ruled out: an upkeep of the dark instance (none was ordered before it was back). Change: a runner that does not answer gets no longer lease; a persistent task serves only if its runner answered within 2 s; the list of instances tells which lives are over.

--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -80,13 +80,26 @@
 		return
 	}
 	p.listedAt = e.Asked
-	clear(p.instances)
+	before := p.instances
+	p.instances = make(map[InstanceID]Instance, len(e.Instances))
 	for _, instance := range e.Instances {
 		p.instances[instance.ID] = instance
+		p.noteLife(before[instance.ID], instance)
 	}
 	p.settleOrders(now)
 }
 
+// noteLife tells the owner of a pool that a runner is gone: its instance is down
+// or has another life.
+func (p *Planner) noteLife(before, now Instance) {
+	over := before.Runner != now.Runner || (now.State == Down && before.State != Down)
+	if before.Runner == "" || !over || p.orders[now.ID] != nil {
+		return
+	}
+	p.emit(&Decided{Instance: now.ID, What: "runnerGone", Reason: string(now.State)})
+	p.emit(&RunnerEnded{Pool: before.Pool, Runner: before.Runner})
+}
+
 // settleOrders follows the orders that the platform has confirmed. Confirmation
 // alone does not say that the runner has ended: an order that was carried out
 // before is confirmed as well.
--- a/core/pool/evacuate.go
+++ b/core/pool/evacuate.go
@@ -12,7 +12,7 @@
 			continue
 		}
 		for _, t := range r.tasks {
-			if t.step.spec.Persistent && t.state == running && p.mayInterrupt(t) {
+			if t.step.spec.Persistent && t.state == running && p.mayInterrupt(now, t) {
 				p.stopTask(now, t, "evacuation")
 			}
 		}
@@ -20,13 +20,13 @@
 }
 
 // mayInterrupt reports whether planned work may end a persistent task now.
-func (p *Pool) mayInterrupt(t *task) bool {
+func (p *Pool) mayInterrupt(now time.Time, t *task) bool {
 	if t.step.spec.MayMiss == 0 {
 		return true
 	}
 	away := 0
 	for i := range t.step.tasks {
-		if other := &t.step.tasks[i]; other != t && !other.atWork() {
+		if other := &t.step.tasks[i]; other != t && !other.atWork(now) {
 			away++
 		}
 	}
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -16,6 +16,8 @@
 	holdGap = 60 * time.Millisecond
 	// holdRetry is the pause after a call without an answer.
 	holdRetry = 250 * time.Millisecond
+	// holdRetries bounds the growth of that pause.
+	holdRetries = 6
 	// holdRefused is the pause after a runner refused a call.
 	holdRefused = 400 * time.Millisecond
 	// lostAfter keeps calling a runner that is no longer registered.
@@ -42,7 +44,9 @@
 func (p *Pool) hold(now time.Time, r *runnerState, busy bool) {
 	r.holding = true
 	h := &HoldRunner{Runner: r.Runner, Fence: p.options.Fence, Acknowledged: r.acknowledge()}
-	if r.resolved && busy {
+	if r.resolved && busy && r.failedCalls == 0 {
+		// A runner that does not answer gets no longer lease: each call may be
+		// carried out late and would put off the time at which its tasks are lost.
 		h.Until = r.grant(now, p.options.Lease)
 		h.Wait = holdWait
 	}
@@ -61,7 +65,7 @@
 	switch e.Call {
 	case Done:
 	case Unknown:
-		r.holdNext = now.Add(holdRetry)
+		r.holdNext = now.Add(holdRetry * time.Duration(min(r.failedCalls, holdRetries)))
 		return
 	case RefusedOther:
 		(&RunnerEnded{Runner: r.ID}).apply(p, now)
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -54,8 +54,14 @@
 // nextRun returns a run number that nobody has used for the task.
 func (t *task) nextRun() int { return max(t.run, t.job.runFloor) + 1 }
 
-// atWork reports whether a persistent task serves.
-func (t *task) atWork() bool { return t.state == running && t.percent >= 100 }
+// silentAfter is how long after its last answer a runner counts as lost in
+// the account of tasks that are at work.
+const silentAfter = 2 * time.Second
+
+// atWork reports whether a persistent task serves, as far as is known.
+func (t *task) atWork(now time.Time) bool {
+	return t.state == running && t.percent >= 100 && now.Sub(t.runner.answered) < silentAfter
+}
 
 // stepState is one step of an occurrence.
 type stepState struct {
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -217,3 +217,58 @@
 		t.Errorf("finishes = %v, want one that fails", got)
 	}
 }
+
+// TestSilentRunnerLosesItsTasks replays a rack that goes dark: calls to it fail
+// until the lease has run out.
+func TestSilentRunnerLosesItsTasks(t *testing.T) {
+	r := newRig(t, Options{})
+	r.runners("r1")
+	r.held("r1", nil, nil)
+	r.started(r.store(id(1), false, oneTask()))
+	r.send(&RunnerHeld{Runner: "r1", Call: Unknown, Sent: r.now})
+	r.runners("r1", "r2")
+	r.held("r2", nil, nil)
+	began := r.now
+	var again []string
+	for r.now.Sub(began) < 8*time.Second && len(again) == 0 {
+		effects := r.pass(100 * time.Millisecond)
+		again = append(again, starts(effects)...)
+		for _, h := range of[*HoldRunner](effects) {
+			if h.Runner.ID == "r1" {
+				r.send(&RunnerHeld{Runner: "r1", Call: Unknown, Sent: r.now})
+			}
+		}
+	}
+	want(t, "start elsewhere", again, []string{name(1, 0, 0).String() + " 2@r2"})
+	if waited := r.now.Sub(began); waited < DefaultLease || waited > leaseBound(DefaultLease)+500*time.Millisecond {
+		t.Errorf("task was lost after %v, want just after the lease of %v", waited, DefaultLease)
+	}
+}
+
+// TestEvacuationCountsSilentSiblings replays an evacuation beside a dark rack.
+func TestEvacuationCountsSilentSiblings(t *testing.T) {
+	r := newRig(t, Options{})
+	step := oneTask()
+	step.Persistent, step.Count, step.MayMiss, step.MaxPerInstance = true, 2, 1, 1
+	r.runners("r1", "r2", "r3")
+	for _, runner := range []RunnerID{"r1", "r2", "r3"} {
+		r.held(runner, nil, nil)
+	}
+	placed := map[RunnerID]job.TaskID{}
+	effects := r.store(id(1), false, step)
+	for _, s := range of[*StartTask](effects) {
+		placed[s.Runner.ID] = s.Task
+	}
+	r.started(effects)
+	var dark, other RunnerID
+	for runner, task := range placed {
+		r.held(runner, []RunningTask{{Task: task, Run: 1, Percent: 100}}, nil)
+		dark, other = other, runner
+	}
+	for range 25 {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.held(other, []RunningTask{{Task: placed[other], Run: 1, Percent: 100}}, nil)
+	}
+	effects = append(r.send(&Cordoned{Runners: map[RunnerID]bool{other: true}}), r.pass(time.Millisecond)...)
+	want(t, "stops while "+string(dark)+" is silent", len(of[*StopTask](effects)), 0)
+}
