Reach the store through a peer while it turns this entry away

Cause: the store refused two of seven entries for 9 s; their callers got 503, and their pools had no owner for seconds. Ruled out: handing the shards to a peer (tried before: the change of owner itself cost 1 to 2 s of a turn). Change: calls that surely had no effect go through peers while the store gives this entry no answer; peers pass calls on to their own store only. Conclusion: the entry keeps serving and keeps its pools.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -106,8 +106,6 @@
 	own  map[Shard]*own
 	// vacant is since when a shard is known to be free.
 	vacant map[Shard]time.Time
-	// offered are the claims that their holder has handed to this process.
-	offered map[Shard]Version
 	// Passive processes renew nothing and take nothing over.
 	Passive bool
 	// observed is when claims were last read.
@@ -119,7 +117,6 @@
 	return &Tracker{
 		holder: holder, address: address, incarnation: incarnation,
 		seen: map[Shard]*seen{}, own: map[Shard]*own{}, vacant: map[Shard]time.Time{},
-		offered: map[Shard]Version{},
 	}
 }
 
@@ -206,8 +203,6 @@
 	case s == nil || s.row.Claim.Released || now.Sub(s.changed) > Term:
 	case s.row.Claim.Holder == t.holder && s.row.Claim.Incarnation != t.incarnation:
 		return true // a former life of this process
-	case t.offered[shard] == s.row.Version:
-		return true
 	default:
 		delete(t.vacant, shard)
 		return false
@@ -294,19 +289,6 @@
 	return oldest, !oldest.IsZero()
 }
 
-// Offer notes that a shard's holder has stopped and hands it to this process.
-// Version is that of the holder's claim.
-func (t *Tracker) Offer(shard Shard, version Version) { t.offered[shard] = version }
-
-// Owned returns the shards of this process with the versions of their claims.
-func (t *Tracker) Owned() map[Shard]Version {
-	out := make(map[Shard]Version, len(t.own))
-	for shard, o := range t.own {
-		out[shard] = o.version
-	}
-	return out
-}
-
 // Releases returns the writes that give up all shards of this process.
 func (t *Tracker) Releases() []Write {
 	var writes []Write
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -23,8 +23,8 @@
 	"google.golang.org/grpc/status"
 
 	"bronzestair/core/job"
-	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
+	"bronzestair/core/table"
 	"bronzestair/io/owner/ownerpb"
 )
 
@@ -45,6 +45,14 @@
 	bufferBytes = 4 << 10
 )
 
+// Store is the platform's store as far as calls are relayed.
+type Store interface {
+	Commit(context.Context, *table.Tx) (table.Version, error)
+	Rows(ctx context.Context, name, part, from, to string) (*table.Page, error)
+	Parts(ctx context.Context, name string) ([]string, error)
+	Feed(ctx context.Context, name string, after table.Version, wait time.Duration) (*table.Page, error)
+}
+
 // Handler answers peers.
 type Handler interface {
 	TakeJob(ctx context.Context, name job.PoolName, record []byte, version uint64) error
@@ -53,7 +61,8 @@
 	SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error)
 	EndRunner(ctx context.Context, name job.PoolName, runner pool.RunnerID) error
 	StoreAge() time.Duration
-	TakeOffer(claims map[ownership.Shard]ownership.Version)
+	// RelayStore passes a call on to the store, and not to other peers.
+	RelayStore() Store
 }
 
 // Peers is an entry's side of its connections with peers. Use NewPeers.
@@ -199,18 +208,6 @@
 	return report, err
 }
 
-// Offer hands shards to a peer.
-func (p *Peers) Offer(ctx context.Context, address string, claims map[ownership.Shard]ownership.Version) error {
-	request := &ownerpb.OfferRequest{}
-	for shard, version := range claims {
-		request.Claims = append(request.Claims, &ownerpb.OfferRequest_Claim{Shard: string(shard), Version: uint64(version)})
-	}
-	return p.call(address, func(c ownerpb.OwnerClient) error {
-		_, err := c.Offer(ctx, request)
-		return err
-	})
-}
-
 // StoreAges returns how long ago the store answered each of the peers that tell.
 func (p *Peers) StoreAges(ctx context.Context, addresses []string) map[string]time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, ageTimeout)
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc/status"
 
 	"bronzestair/core/job"
-	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/io/owner/ownerpb"
 )
@@ -69,16 +68,6 @@
 	return &ownerpb.StoreAgeReply{AgeMilliseconds: s.handler.StoreAge().Milliseconds()}, nil
 }
 
-// Offer implements ownerpb.OwnerServer.
-func (s *server) Offer(_ context.Context, in *ownerpb.OfferRequest) (*ownerpb.OfferReply, error) {
-	claims := make(map[ownership.Shard]ownership.Version, len(in.GetClaims()))
-	for _, c := range in.GetClaims() {
-		claims[ownership.Shard(c.GetShard())] = ownership.Version(c.GetVersion())
-	}
-	s.handler.TakeOffer(claims)
-	return &ownerpb.OfferReply{}, nil
-}
-
 func encodeReport(r *pool.Report) *ownerpb.SyncReply {
 	reply := &ownerpb.SyncReply{
 		RunningCpu: int64(r.Running), ReadyCpu: int64(r.Ready), Recovered: r.Recovered,
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -184,51 +184,28 @@
 	m.beginShard(ctx, tenure)
 }
 
-// extendInOutage looks at the peers when the store does not answer. If they have
-// not heard from it either, nobody can take over, and the ownerships go on. Else
-// this entry alone is turned away, and hands its shards to a peer.
+// extendInOutage keeps ownerships through an outage of the store, if the peers
+// that answer have not heard from it either: then nobody can take over.
 func (m *Manager) extendInOutage(ctx context.Context) {
 	m.mu.Lock()
 	oldest, any := m.tracker.Oldest()
 	peers := m.tracker.Peers()
 	m.mu.Unlock()
 	asked := time.Now()
-	if !any || asked.Sub(oldest) < outageAge || asked.Sub(m.store.Answered()) < outageAge || len(peers) == 0 {
+	if !any || asked.Sub(oldest) < outageAge || asked.Sub(m.store.Answered()) < outageAge {
 		return
 	}
 	ages := m.peers.StoreAges(ctx, peers)
-	best := ""
-	for address, age := range ages {
-		if best == "" || age < ages[best] {
-			best = address
+	for _, age := range ages {
+		if age < outageAge {
+			return
 		}
 	}
-	switch {
-	case best == "":
-	case ages[best] > outageAge:
+	if len(ages) > 0 {
 		m.mu.Lock()
 		m.tracker.Extend(asked)
 		m.mu.Unlock()
-	default:
-		m.handOver(ctx, best)
-	}
-}
-
-// handOver stops all work of shards and offers them to a peer.
-func (m *Manager) handOver(ctx context.Context, peer string) {
-	m.mu.Lock()
-	claims := m.tracker.Owned()
-	m.mu.Unlock()
-	for shard := range claims {
-		m.endShard(shard, "the store answers others only")
-	}
-	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
-	defer cancel()
-	if err := m.peers.Offer(ctx, peer, claims); err != nil {
-		m.logger.Warn("shards are not handed over", "peer", peer, "error", err)
-		return
 	}
-	m.logger.Info("shards are handed over", "peer", peer, "count", len(claims))
 }
 
 // dropInvalid ends the work of shards whose claim can no longer be trusted for long.
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -88,7 +88,7 @@
 // Manager is an entry's part in accepting, scheduling and maintaining. Use New.
 type Manager struct {
 	options   Options
-	store     Store
+	store     *relay
 	runners   Runners
 	instances Instances
 	records   Records
@@ -134,7 +134,7 @@
 		o.Meter = noMeter{}
 	}
 	m := &Manager{
-		options: o, store: store, runners: runners, instances: instances, records: records,
+		options: o, runners: runners, instances: instances, records: records,
 		logger:     o.Logger,
 		pools:      map[job.PoolName]*poolOwner{},
 		registered: map[string]registration{},
@@ -143,6 +143,7 @@
 	incarnation := newIncarnation()
 	m.tracker = ownership.New(o.Name, o.Address, incarnation)
 	m.peers = owner.NewPeers(m, o.Logger)
+	m.store = newRelay(store, m.peers, m.otherEntries, o.Logger)
 	return m
 }
 
@@ -171,6 +172,10 @@
 		m.claim(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		m.store.probe(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -190,6 +195,13 @@
 	}
 }
 
+// otherEntries returns the addresses of the peers that are known.
+func (m *Manager) otherEntries() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Peers()
+}
+
 // owned returns the pool's owner in this process, or nil.
 func (m *Manager) owned(name job.PoolName) *poolOwner {
 	m.mu.Lock()
--- a/manager/serve.go
+++ b/manager/serve.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"bronzestair/core/job"
-	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/io/owner"
 )
@@ -81,15 +80,8 @@
 	return nil
 }
 
-// StoreAge returns how long ago the store last answered this process.
-func (m *Manager) StoreAge() time.Duration { return time.Since(m.store.Answered()) }
+// StoreAge returns how long ago the store last answered this process itself.
+func (m *Manager) StoreAge() time.Duration { return time.Since(m.store.direct.Answered()) }
 
-// TakeOffer notes shards whose owner has stopped, to be taken over soon.
-func (m *Manager) TakeOffer(claims map[ownership.Shard]ownership.Version) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for shard, version := range claims {
-		m.tracker.Offer(shard, version)
-	}
-	m.logger.Info("shards are offered", "count", len(claims))
-}
+// RelayStore returns the store as this process reaches it itself.
+func (m *Manager) RelayStore() owner.Store { return m.store.direct }
