--- a/manager/follow.go
+++ b/manager/follow.go
@@ -136,7 +136,7 @@
 				continue
 			}
 			if m.catalog.Replace(next) {
-				m.logger.Info("configuration in force", "version", next.Version, "queues", len(next.Queues))
+				m.logger.Info("configuration in force", "version", next.Version, "queues", len(next.Queues), "pools", next.Pools)
 				m.configurationChanged()
 			}
 			continue
