Ask which lives are over after a change of owner; late jobs ask for nothing

Cause: (1) inherited jobs waited 5 s for a runner whose instance was in upkeep but still registered; (2) jobs that had missed their objective held instances that the next turn needed; (3) one entry had taken five of six shards. Ruled out: loading and holds (done within 100 ms of the change). Change: a new owner that has not heard all runners asks the list of instances; reports count only jobs that can still be in time; entries begin with different shards.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -16,6 +16,7 @@
 package ownership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -35,9 +36,10 @@
 	Term = 2 * time.Second
 	// RenewInterval leaves two more tries within the term.
 	RenewInterval = 600 * time.Millisecond
-	// spreadDelay separates the processes that want one shard, and keeps those
-	// back that own others.
-	spreadDelay = 100 * time.Millisecond
+	// spreadDelay keeps processes back for each shard that they own already, and
+	// preferenceDelay separates those that own as many.
+	spreadDelay     = 250 * time.Millisecond
+	preferenceDelay = 100 * time.Millisecond
 	// ageDivisor and ageDelay turn the age of a process into a part of its delay.
 	ageDivisor = 200
 	ageDelay   = 300 * time.Millisecond
@@ -195,10 +197,7 @@
 		}
 	}
 	slices.SortFunc(writes, func(a, b Write) int {
-		if a.Shard < b.Shard {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(t.preference(a.Shard), t.preference(b.Shard)), cmp.Compare(a.Shard, b.Shard))
 	})
 	return writes
 }
@@ -224,9 +223,13 @@
 // have run long wait longer: where entries are restarted in turn, one that was
 // restarted lately is not restarted again soon.
 func (t *Tracker) delay(now time.Time, shard Shard) time.Duration {
-	hash := xxhash.Sum64String(t.holder + "/" + string(shard))
 	age := min(now.Sub(t.started)/ageDivisor, ageDelay)
-	return time.Duration(len(t.own))*spreadDelay + age + time.Duration(hash%uint64(spreadDelay))
+	return time.Duration(len(t.own))*spreadDelay + age + t.preference(shard)
+}
+
+// preference differs between processes, so that they begin with different shards.
+func (t *Tracker) preference(shard Shard) time.Duration {
+	return time.Duration(xxhash.Sum64String(t.holder+"/"+string(shard)) % uint64(preferenceDelay))
 }
 
 func (t *Tracker) takeOver(shard Shard) Write {
--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -61,6 +61,13 @@
 	Stale bool
 }
 
+// LivesListed carries the lives of the pool's instances that are up.
+type LivesListed struct {
+	Alive map[RunnerID]bool
+	// Asked is when the list was asked for.
+	Asked time.Time
+}
+
 // RunnerEnded says that a runner's life is surely over.
 type RunnerEnded struct {
 	Runner RunnerID
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -99,11 +99,14 @@
 	queues  map[job.QueueName]QueueSettings
 	jobs    map[job.ID]*jobState
 	// ended keeps the outcomes of jobs for as long as callers may ask.
-	ended    map[job.ID]job.Outcome
-	runners  map[RunnerID]*runnerState
-	tickets  map[string]*stepTickets
-	listed   bool
-	arrivals arrivals
+	ended   map[job.ID]job.Outcome
+	runners map[RunnerID]*runnerState
+	tickets map[string]*stepTickets
+	listed  bool
+	// unheard are lives of instances that are up but not registered, gone those
+	// that are registered but over.
+	unheard, gone map[RunnerID]bool
+	arrivals      arrivals
 
 	deposed bool
 	// changed is true if a task may have become placeable since the last dispatch.
@@ -123,6 +126,8 @@
 		ended:   map[job.ID]job.Outcome{},
 		runners: map[RunnerID]*runnerState{},
 		tickets: map[string]*stepTickets{},
+		unheard: map[RunnerID]bool{},
+		gone:    map[RunnerID]bool{},
 	}
 }
 
@@ -176,9 +181,12 @@
 			return false
 		}
 	}
-	return true
+	return len(p.unheard) == 0
 }
 
+// Recovered reports whether tasks of inherited jobs may be started.
+func (p *Pool) Recovered(now time.Time) bool { return p.recovered(now) }
+
 // Bounds of a runner's steady clock against the owner's.
 const (
 	// clockDrift is how much slower than true time a runner's clock may be.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -272,3 +272,28 @@
 	effects = append(r.send(&Cordoned{Runners: map[RunnerID]bool{other: true}}), r.pass(time.Millisecond)...)
 	want(t, "stops while "+string(dark)+" is silent", len(of[*StopTask](effects)), 0)
 }
+
+// TestNewOwnerLearnsThatASilentRunnerIsGone replays a change of owner beside an
+// instance in upkeep, whose runner is still registered.
+func TestNewOwnerLearnsThatASilentRunnerIsGone(t *testing.T) {
+	cases := map[string]struct {
+		alive map[RunnerID]bool
+		want  []string
+	}{
+		"gone":         {map[RunnerID]bool{"r1": true}, []string{name(1, 0, 0).String() + " 10001@r1"}},
+		"still up":     {map[RunnerID]bool{"r1": true, "r2": true}, nil},
+		"unregistered": {map[RunnerID]bool{"r1": true, "r3": true}, nil},
+	}
+	for title, c := range cases {
+		t.Run(title, func(t *testing.T) {
+			r := newRig(t, Options{Epoch: 2, Loading: true})
+			r.runners("r1", "r2")
+			r.store(id(1), true, oneTask())
+			r.send(&JobsLoaded{Present: map[job.ID]bool{id(1): true}, Version: 20})
+			r.held("r1", nil, nil)
+			r.send(&RunnerHeld{Runner: "r2", Call: Unknown, Sent: r.now})
+			r.now = r.now.Add(time.Second)
+			want(t, "starts", starts(r.send(&LivesListed{Alive: c.alive, Asked: r.now})), c.want)
+		})
+	}
+}
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -24,6 +24,8 @@
 	Pool    job.PoolName
 	Runners []RunnerReport
 	// Running and Ready are the processor time that tasks have and wait for.
+	// Here and below, jobs that have missed their objective do not count: they
+	// run on what the others leave.
 	Running, Ready job.Milli
 	// Arriving is the work that came in lately, in processor time per time, and
 	// Backlog the work that has not begun, in processor time times a second.
@@ -44,12 +46,10 @@
 		}
 		line.Passing = r.countTrials()
 		line.Persistent = len(r.tasks) - line.Passing
-		report.Running += r.used.CPU
-		report.RunningMemory += r.used.Memory
 		report.Runners = append(report.Runners, line)
 	}
 	for _, j := range p.jobs {
-		if j.outcome == "" {
+		if j.outcome == "" && p.rank(now, j).tier <= tierInTime {
 			report.addJob(j)
 		}
 	}
@@ -64,6 +64,9 @@
 			r.Backlog += job.Milli(float64(step.notBegun()) * step.spec.Work())
 			r.Ready += job.Milli(step.ready) * step.spec.Demand().CPU
 			r.ReadyMemory += job.MiB(step.ready) * step.spec.Demand().Memory
+			running := step.onRunners()
+			r.Running += job.Milli(running) * step.spec.Demand().CPU
+			r.RunningMemory += job.MiB(running) * step.spec.Demand().Memory
 			if limit := step.spec.MaxPerInstance; limit > 0 && step.open && step.remaining > 0 {
 				r.Spread = max(r.Spread, (step.spec.Count+limit-1)/limit)
 			}
@@ -71,6 +74,17 @@
 	}
 }
 
+// onRunners counts the tasks that occupy a runner.
+func (s *stepState) onRunners() int {
+	n := 0
+	for i := range s.tasks {
+		if s.tasks[i].runner != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // notBegun counts the tasks that are neither running nor done.
 func (s *stepState) notBegun() int {
 	n := 0
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -72,10 +72,11 @@
 	// failedCalls counts calls without an answer since the last answer.
 	failedCalls int
 	answered    time.Time
-	missing     time.Time
-	cordoned    bool
-	avoidUntil  time.Time
-	health      runnerHealth
+	// listed is when the runner was first seen, missing since when it is not registered.
+	listed, missing time.Time
+	cordoned        bool
+	avoidUntil      time.Time
+	health          runnerHealth
 }
 
 func newRunnerState(r Runner) *runnerState {
@@ -171,7 +172,9 @@
 	present := make(map[RunnerID]bool, len(e.Runners))
 	for _, listed := range e.Runners {
 		present[listed.ID] = true
-		p.updateRunner(listed)
+		if !p.gone[listed.ID] {
+			p.updateRunner(now, listed)
+		}
 	}
 	for id, r := range p.runners {
 		if present[id] || e.Stale {
@@ -186,10 +189,12 @@
 	}
 }
 
-func (p *Pool) updateRunner(listed Runner) {
+func (p *Pool) updateRunner(now time.Time, listed Runner) {
+	delete(p.unheard, listed.ID)
 	r := p.runners[listed.ID]
 	if r == nil {
 		r = newRunnerState(listed)
+		r.listed = now
 		p.runners[listed.ID] = r
 		return
 	}
@@ -208,6 +213,28 @@
 	delete(p.runners, e.Runner)
 }
 
+// apply implements Event. Only runners that do not answer are taken for gone:
+// the list may lack a runner that has just begun.
+func (e *LivesListed) apply(p *Pool, now time.Time) {
+	if p.recovered(now) {
+		return
+	}
+	for id, r := range p.runners {
+		if !e.Alive[id] && !r.resolved && r.failedCalls > 0 && r.listed.Before(e.Asked) {
+			p.emit(&Decided{Runner: id, What: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.Asked)})
+			(&RunnerEnded{Runner: id}).apply(p, now)
+			p.gone[id] = true
+		}
+	}
+	clear(p.unheard)
+	for id := range e.Alive {
+		if p.runners[id] == nil {
+			p.unheard[id] = true
+		}
+	}
+	p.changed = true
+}
+
 // apply implements Event.
 func (e *Cordoned) apply(p *Pool, _ time.Time) {
 	for id, r := range p.runners {
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -130,8 +130,7 @@
 	}
 	for _, w := range writes {
 		if w.Begins {
-			m.takeOver(ctx, w)
-			if !w.Former {
+			if m.takeOver(ctx, w) && !w.Former {
 				return // how long others are left alone depends on what is owned
 			}
 		}
@@ -184,17 +183,18 @@
 	return err
 }
 
-func (m *Manager) takeOver(ctx context.Context, w ownership.Write) {
+// takeOver reports whether the shard is this entry's now.
+func (m *Manager) takeOver(ctx context.Context, w ownership.Write) bool {
 	sent := time.Now()
 	var tx table.Tx
 	if err := addClaim(&tx, w); err != nil {
 		m.logger.Error("claim cannot be encoded", "shard", w.Shard, "error", err)
-		return
+		return false
 	}
 	version, err := m.store.Commit(ctx, &tx)
 	if err != nil {
 		m.logger.Info("shard is not taken over", "shard", w.Shard, "error", err)
-		return
+		return false
 	}
 	m.mu.Lock()
 	tenure, _ := m.tracker.Written(sent, w, ownership.Version(version))
@@ -202,6 +202,7 @@
 	m.logger.Info("shard taken over", "shard", w.Shard, "epoch", tenure.Epoch, "fence", tenure.Fence, "previous", tenure.Previous)
 	m.beginShard(ctx, tenure)
 	go m.tellClaimsChanged(ctx)
+	return true
 }
 
 // tellClaimsChanged makes the peers read the claims.
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bronzestair/core/job"
+	"bronzestair/core/maintenance"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/core/table"
@@ -17,6 +18,9 @@
 	inboxSize = 4096
 	// cordonTerm is how long cordons last without being asked for again.
 	cordonTerm = 3 * time.Second
+	// livesInterval is how often a new owner that has not heard all runners asks
+	// which lives are over.
+	livesInterval = 250 * time.Millisecond
 	// jobFeedPause collects changes of jobs between two reads of the feed.
 	jobFeedPause = 300 * time.Millisecond
 	// expireInterval is how often old outcomes are dropped from memory.
@@ -84,6 +88,7 @@
 	p := pool.New(o.poolOptions(), time.Now())
 	o.begin(ctx, p)
 	go o.load(ctx)
+	go o.listLives(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	expire := time.NewTicker(expireInterval)
@@ -226,6 +231,30 @@
 	o.m.logger.Info(e.What, append(attributes, "reason", e.Reason)...)
 }
 
+// listLives tells a new owner which runners are gone, until it has heard of all.
+func (o *poolOwner) listLives(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, livesInterval)
+		recovered := false
+		if !o.ask(ctx, func(_ context.Context, p *pool.Pool) { recovered = p.Recovered(time.Now()) }) || recovered {
+			return
+		}
+		asked := time.Now()
+		instances, err := o.m.instances.List(ctx)
+		if err != nil {
+			o.m.logger.Warn("instances are not listed", "pool", o.name, "error", err)
+			continue
+		}
+		event := &pool.LivesListed{Asked: asked, Alive: map[pool.RunnerID]bool{}}
+		for _, i := range instances {
+			if i.Pool == o.name && i.State == maintenance.Up {
+				event.Alive[i.Runner] = true
+			}
+		}
+		o.submit(event)
+	}
+}
+
 // load hands over all stored jobs, and then the changes.
 func (o *poolOwner) load(ctx context.Context) {
 	pause := newBackoff()
