Defer jobs that cannot be in time behind others

Cause: in a turn that asked for more than the fleet has, jobs went by their deadlines alone; each began when it was about to be late, and most were. Ruled out: more instances (all that pools may give had moved); newest first (would reverse the callers' order without need). Change: jobs are ranked every 30 ms; behind the work that is admitted a job whose turn would come too late is deferred; begun jobs go first; a pool keeps one instance beside its spread, in place of two.

--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -29,7 +30,7 @@
 	spareInstances = 1
 	// spreadReserve is kept beside the instances over which a step is spread: one
 	// may be in upkeep and another lost.
-	spreadReserve = 2
+	spreadReserve = 1
 	// demandMemory is how long a demand counts after it was seen.
 	demandMemory = 1 * time.Second
 )
@@ -158,6 +159,13 @@
 	}
 	last := p.demands[report.Pool]
 	if need >= last.need || now.Sub(last.at) > demandMemory {
+		if need != last.need {
+			p.emit(&Decided{
+				What:    "poolNeeds",
+				Reason:  fmt.Sprintf("pool %s needs %d and has %d; running %d ready %d arriving %d backlog %d", report.Pool, need, p.have(report.Pool), report.Running, report.Ready, report.Arriving, report.Backlog),
+				DataAge: now.Sub(report.at),
+			})
+		}
 		p.demands[report.Pool] = demand{need: need, at: now}
 		return need
 	}
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -18,31 +18,6 @@
 	}
 }
 
-// candidate is a job with tasks to place.
-type candidate struct {
-	job  *jobState
-	rank rank
-}
-
-// rank orders jobs for placement; the lowest comes first.
-type rank struct {
-	tier     int
-	priority int
-	due      time.Time
-}
-
-// Tiers of rank. Persistent tasks earn as long as they run and must not wait.
-// Among the others those go first that can still meet their objective.
-const (
-	tierPersistent = iota
-	tierInTime
-	tierLate
-	tierWorthless
-)
-
-// lateFactor times the objective is when a job is of no more use to its caller.
-const lateFactor = 3
-
 // dispatch places as many ready tasks as fit, in order of rank.
 func (p *Pool) dispatch(now time.Time) {
 	candidates := p.candidates(now)
@@ -50,96 +25,20 @@
 		return
 	}
 	usable := p.usableRunners(now)
-	for _, c := range candidates {
+	for _, j := range candidates {
 		if len(usable) == 0 {
 			return
 		}
-		for _, o := range c.job.occurrences {
+		for _, o := range j.occurrences {
 			for _, step := range o.steps {
 				if step.ready > 0 {
-					p.placeStep(now, c.job, step, &usable)
+					p.placeStep(now, j, step, &usable)
 				}
 			}
 		}
 	}
 }
 
-// candidates returns the jobs with ready tasks that may be placed now.
-func (p *Pool) candidates(now time.Time) []candidate {
-	recovered := p.recovered(now)
-	var out []candidate
-	for _, j := range p.jobs {
-		if j.outcome != "" || (j.inherited && !recovered) {
-			continue
-		}
-		if j.ready() > 0 {
-			out = append(out, candidate{job: j, rank: p.rank(now, j)})
-		}
-	}
-	slices.SortFunc(out, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.rank.tier, b.rank.tier),
-			cmp.Compare(a.rank.priority, b.rank.priority),
-			a.rank.due.Compare(b.rank.due),
-			cmp.Compare(a.job.id(), b.job.id()),
-		)
-	})
-	return out
-}
-
-func (j *jobState) ready() int {
-	n := 0
-	for _, o := range j.occurrences {
-		for _, step := range o.steps {
-			n += step.ready
-		}
-	}
-	return n
-}
-
-// rank places a job by its objective and the work that is left of it.
-func (p *Pool) rank(now time.Time, j *jobState) rank {
-	q := p.queue(j.record.Queue)
-	if j.record.Spec.Persistent() {
-		return rank{tier: tierPersistent, priority: q.Priority, due: j.record.Accepted}
-	}
-	begin := j.record.Accepted
-	if len(j.occurrences) > 0 && j.occurrences[0].due.After(begin) {
-		begin = j.occurrences[0].due
-	}
-	objective := time.Duration(q.Stretch*float64(j.record.Spec.Chain())) + q.LatencyTarget
-	due := begin.Add(objective)
-	left := j.chainLeft()
-	switch {
-	case !now.Add(left).After(due):
-		return rank{tier: tierInTime, priority: q.Priority, due: due.Add(-left)}
-	case now.Before(begin.Add(lateFactor * objective)):
-		return rank{tier: tierLate, priority: q.Priority, due: due}
-	default:
-		return rank{tier: tierWorthless, priority: q.Priority, due: due}
-	}
-}
-
-// chainLeft estimates the longest chain of work that is not done.
-func (j *jobState) chainLeft() time.Duration {
-	var longest time.Duration
-	for _, o := range j.occurrences {
-		ends := make([]time.Duration, len(o.steps))
-		for s, step := range o.steps {
-			var begin time.Duration
-			for _, before := range step.spec.After {
-				begin = max(begin, ends[before])
-			}
-			ends[s] = begin
-			if step.remaining > 0 {
-				ends[s] += step.spec.EstimatedRuntime
-			}
-			longest = max(longest, ends[s])
-		}
-	}
-	return longest
-}
-
 func (p *Pool) usableRunners(now time.Time) []*runnerState {
 	var out []*runnerState
 	for _, r := range p.runners {
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -95,6 +95,8 @@
 	// finishedOccurrences counts those from the first on that are done.
 	finishedOccurrences int
 	begun               bool
+	// rank is the job's place as last planned.
+	rank rank
 
 	// seq counts the changes to be stored.
 	seq, savedSeq uint64
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -108,6 +108,8 @@
 	unheard, gone map[RunnerID]bool
 	arrivals      arrivals
 
+	// planned is when the jobs were last ranked.
+	planned time.Time
 	deposed bool
 	// changed is true if a task may have become placeable since the last dispatch.
 	changed bool
--- /dev/null
+++ b/core/pool/rank.go
@@ -0,0 +1,182 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// rank orders jobs for placement; the lowest comes first.
+type rank struct {
+	tier     int
+	priority int
+	// begun jobs go before others of their tier: what they have is lost if they
+	// are late.
+	begun bool
+	due   time.Time
+}
+
+// Tiers of rank. Persistent tasks earn as long as they run and must not wait.
+// Among the others those go first that can still meet their objective.
+const (
+	tierPersistent = iota
+	tierInTime
+	// tierDeferred jobs could be in time alone, but not after those before them.
+	tierDeferred
+	tierLate
+	tierWorthless
+)
+
+const (
+	// lateFactor times the objective is when a job is of no more use to its caller.
+	lateFactor = 3
+	// leftMargin is kept on the work that is left, as estimates are rough.
+	leftMargin = 1.15
+	// planAge is how long an order of the jobs is used.
+	planAge = 30 * time.Millisecond
+)
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(
+		cmp.Compare(r.tier, o.tier),
+		cmp.Compare(r.priority, o.priority),
+		-compareBool(r.begun, o.begun),
+		r.due.Compare(o.due),
+	)
+}
+
+// candidates returns the jobs with ready tasks that may be placed now, in order.
+func (p *Pool) candidates(now time.Time) []*jobState {
+	if now.Sub(p.planned) > planAge {
+		p.plan(now)
+	}
+	recovered := p.recovered(now)
+	var out []*jobState
+	for _, j := range p.jobs {
+		if j.outcome != "" || (j.inherited && !recovered) || j.ready() == 0 {
+			continue
+		}
+		if j.rank == (rank{}) {
+			j.rank = p.rank(now, j)
+		}
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *jobState) int {
+		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.id(), b.id()))
+	})
+	return out
+}
+
+// plan ranks all jobs. It answers a turn that asks for more than the pool can
+// serve in time: going by deadlines alone, every job would begin when it is
+// about to be late, and most would be. A job whose turn would come too late
+// behind the admitted ones is deferred instead.
+func (p *Pool) plan(now time.Time) {
+	p.planned = now
+	var inTime []*jobState
+	for _, j := range p.jobs {
+		if j.outcome != "" {
+			continue
+		}
+		j.rank = p.rank(now, j)
+		if j.rank.tier == tierInTime {
+			inTime = append(inTime, j)
+		}
+	}
+	slices.SortFunc(inTime, func(a, b *jobState) int { return a.rank.compare(b.rank) })
+	capacity := p.capacity(now)
+	if capacity == 0 {
+		return
+	}
+	ahead := 0.0
+	for _, j := range inTime {
+		work := j.workLeft()
+		wait := time.Duration(ahead / float64(capacity) * float64(time.Second))
+		if !j.rank.begun && now.Add(wait).After(j.rank.due) {
+			j.rank.tier = tierDeferred
+			continue
+		}
+		ahead += work
+	}
+}
+
+// capacity returns the processor time of the runners that take tasks.
+func (p *Pool) capacity(now time.Time) job.Milli {
+	var sum job.Milli
+	for _, r := range p.runners {
+		if r.resolved && !r.Draining && !r.cordoned && r.missing.IsZero() && r.failedCalls == 0 && !now.Before(r.health.rejected) {
+			sum += r.Capacity.CPU
+		}
+	}
+	return sum
+}
+
+func (j *jobState) ready() int {
+	n := 0
+	for _, o := range j.occurrences {
+		for _, step := range o.steps {
+			n += step.ready
+		}
+	}
+	return n
+}
+
+// workLeft estimates the work of the tasks that have not begun.
+func (j *jobState) workLeft() float64 {
+	work := 0.0
+	for _, o := range j.occurrences {
+		for _, step := range o.steps {
+			work += float64(step.notBegun()) * step.spec.Work()
+		}
+	}
+	return work
+}
+
+// rank places a job by its objective and the work that is left of it. Due is
+// the latest time at which that work may go on.
+func (p *Pool) rank(now time.Time, j *jobState) rank {
+	q := p.queue(j.record.Queue)
+	if j.record.Spec.Persistent() {
+		return rank{tier: tierPersistent, priority: q.Priority, due: j.record.Accepted}
+	}
+	begin := j.record.Accepted
+	if len(j.occurrences) > 0 && j.occurrences[0].due.After(begin) {
+		begin = j.occurrences[0].due
+	}
+	objective := time.Duration(q.Stretch*float64(j.record.Spec.Chain())) + q.LatencyTarget
+	left := j.chainLeft()
+	if !j.begun {
+		left = time.Duration(leftMargin * float64(left))
+	}
+	r := rank{tier: tierInTime, priority: q.Priority, begun: j.begun, due: begin.Add(objective - left)}
+	switch {
+	case !now.After(r.due):
+	case now.Before(begin.Add(lateFactor * objective)):
+		r.tier = tierLate
+	default:
+		r.tier = tierWorthless
+	}
+	return r
+}
+
+// chainLeft estimates the longest chain of work that is not done.
+func (j *jobState) chainLeft() time.Duration {
+	var longest time.Duration
+	for _, o := range j.occurrences {
+		ends := make([]time.Duration, len(o.steps))
+		for s, step := range o.steps {
+			var begin time.Duration
+			for _, before := range step.spec.After {
+				begin = max(begin, ends[before])
+			}
+			ends[s] = begin
+			if step.remaining > 0 {
+				ends[s] += step.spec.EstimatedRuntime
+			}
+			longest = max(longest, ends[s])
+		}
+	}
+	return longest
+}
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -49,7 +49,7 @@
 		report.Runners = append(report.Runners, line)
 	}
 	for _, j := range p.jobs {
-		if j.outcome == "" && p.rank(now, j).tier <= tierInTime {
+		if j.outcome == "" && p.rank(now, j).tier <= tierDeferred {
 			report.addJob(j)
 		}
 	}
