Store new jobs of all entries together

Cause: while the store was slow a transaction took 0.3 s, one after another in a part; jobs that each entry stored by itself were refused or waited. Ruled out: a longer timeout (the part refuses what would wait over a second). Change: the pool's owner stores new jobs with its own writes, many in one transaction; without an owner the entry stores the job itself.

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -55,7 +55,8 @@
 
 // Handler answers peers.
 type Handler interface {
-	TakeJob(ctx context.Context, name job.PoolName, record []byte, version uint64) error
+	// StoreJob stores a new job: 0 if it surely did not, 1 if it did, 2 if it may have.
+	StoreJob(ctx context.Context, name job.PoolName, record []byte) (uint8, error)
 	TellState(ctx context.Context, name job.PoolName, id job.ID) (job.State, error)
 	TellWaiting(ctx context.Context, name job.PoolName, queue job.QueueName) (int, error)
 	SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error)
@@ -158,12 +159,18 @@
 	return err
 }
 
-// Submit hands a stored job to the owner of its pool.
-func (p *Peers) Submit(ctx context.Context, address string, name job.PoolName, record []byte, version uint64) error {
-	return p.call(address, func(c ownerpb.OwnerClient) error {
-		_, err := c.Submit(ctx, &ownerpb.SubmitRequest{Pool: string(name), Record: record, Version: version})
+// Submit has the owner of a pool store a new job. The result is that of
+// Handler.StoreJob. ErrNotOwner means that nothing was done.
+func (p *Peers) Submit(ctx context.Context, address string, name job.PoolName, record []byte) (result uint8, err error) {
+	err = p.call(address, func(c ownerpb.OwnerClient) error {
+		reply, err := c.Submit(ctx, &ownerpb.SubmitRequest{Pool: string(name), Record: record})
+		result = uint8(reply.GetResult())
 		return err
 	})
+	if status.Code(err) == codes.FailedPrecondition {
+		err = ErrNotOwner
+	}
+	return result, err
 }
 
 // State asks the owner for the state of a job.
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -31,8 +31,8 @@
 
 // Submit implements ownerpb.OwnerServer.
 func (s *server) Submit(ctx context.Context, in *ownerpb.SubmitRequest) (*ownerpb.SubmitReply, error) {
-	err := s.handler.TakeJob(ctx, job.PoolName(in.GetPool()), in.GetRecord(), in.GetVersion())
-	return &ownerpb.SubmitReply{}, statusOf(err)
+	result, err := s.handler.StoreJob(ctx, job.PoolName(in.GetPool()), in.GetRecord())
+	return &ownerpb.SubmitReply{Result: uint32(result)}, statusOf(err)
 }
 
 // State implements ownerpb.OwnerServer.
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -9,7 +9,7 @@
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
 	"bronzestair/core/table"
-	"bronzestair/core/verdict"
+	"bronzestair/io/owner"
 )
 
 // Acceptance tells what became of a submission.
@@ -29,35 +29,68 @@
 	submitTries = 3
 	// cancelTries bounds the races of a cancellation with the job's owner.
 	cancelTries = 4
-	// notifyTimeout bounds the call that tells an owner of a new job; the owner
-	// finds jobs that it was not told of in the feed.
+	// acceptTimeout bounds the storing of a job by the pool's owner; it leaves a
+	// caller's usual deadline of 3 s time for another way.
+	acceptTimeout = 1500 * time.Millisecond
+	// notifyTimeout bounds other calls to peers.
 	notifyTimeout = 300 * time.Millisecond
 )
 
-// Submit stores a job. The same id again is the same job.
+// Submit stores a job. The same id again is the same job. The pool's owner
+// stores the jobs of all entries together; without it this entry does.
 func (m *Manager) Submit(ctx context.Context, q *catalog.Queue, id job.ID, spec *job.Spec) (Acceptance, error) {
 	record := &job.Record{Pool: q.Pool, Queue: q.Name, ID: id, Spec: *spec, Accepted: time.Now()}
 	value, err := record.Encode()
 	if err != nil {
 		return NotStored, err
 	}
-	key := table.Key{Table: jobTable, Part: string(q.Name), Name: string(id)}
-	tx := table.Tx{Part: string(q.Name)}
+	result, err := m.submitToOwner(ctx, record, value)
+	if result == Stored || (err == nil && result == MayBeStored) {
+		return result, err
+	}
+	direct, err := m.submitDirect(ctx, record, value)
+	if direct == NotStored {
+		return result, err // what the owner was told may still take effect
+	}
+	return direct, err
+}
+
+// submitToOwner has the pool's owner store a job.
+func (m *Manager) submitToOwner(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	if o := m.owned(record.Pool); o != nil {
+		return o.writer.accept(ctx, record, value)
+	}
+	address := m.ownerAddress(record.Pool)
+	if address == "" {
+		return NotStored, errNoOwner
+	}
+	result, err := m.peers.Submit(ctx, address, record.Pool, value)
+	switch {
+	case errors.Is(err, owner.ErrNotOwner):
+		return NotStored, err
+	case err != nil:
+		return MayBeStored, err
+	}
+	return Acceptance(result), nil
+}
+
+// submitDirect stores a job without the pool's owner, which finds it in the feed.
+func (m *Manager) submitDirect(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
+	key := table.Key{Table: jobTable, Part: string(record.Queue), Name: string(record.ID)}
+	tx := table.Tx{Part: key.Part}
 	tx.Expect(key, 0)
 	tx.Expect(table.Key{Table: outcomeTable, Part: key.Part, Name: key.Name}, 0)
 	tx.Put(key, value)
 	result := NotStored
 	for range submitTries {
-		version, err := m.store.Commit(ctx, &tx)
+		_, err := m.store.Commit(ctx, &tx)
 		var conflict *table.Conflict
-		var failed *table.Failure
 		switch {
-		case err == nil:
-			m.notify(&pool.JobStored{Record: record, Version: pool.RowVersion(version)}, value)
+		case err == nil || errors.As(err, &conflict):
 			return Stored, nil
-		case errors.As(err, &conflict):
-			return Stored, nil
-		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun:
+		case notRun(err):
 			return result, err
 		}
 		result = MayBeStored
@@ -68,25 +101,6 @@
 	return result, errors.New("the store does not answer")
 }
 
-// notify tells the pool's owner of a new job.
-func (m *Manager) notify(e *pool.JobStored, value []byte) {
-	if o := m.owned(e.Record.Pool); o != nil {
-		o.submit(e)
-		return
-	}
-	address := m.ownerAddress(e.Record.Pool)
-	if address == "" {
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-		defer cancel()
-		if err := m.peers.Submit(ctx, address, e.Record.Pool, value, uint64(e.Version)); err != nil {
-			m.logger.Info("owner is not told of job", "job", e.Record.ID, "owner", address, "error", err)
-		}
-	}()
-}
-
 // ErrUnknownJob says that there is no such job.
 var ErrUnknownJob = errors.New("job does not exist")
 
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -87,6 +87,7 @@
 	defer close(o.done)
 	p := pool.New(o.poolOptions(), time.Now())
 	o.begin(ctx, p)
+	go o.writer.run(ctx)
 	go o.load(ctx)
 	go o.listLives(ctx)
 	ticker := time.NewTicker(tickInterval)
--- a/manager/serve.go
+++ b/manager/serve.go
@@ -11,18 +11,21 @@
 
 // The methods in this file answer peers. They implement owner.Handler.
 
-// TakeJob hands a stored job to the pool's owner in this process.
-func (m *Manager) TakeJob(_ context.Context, name job.PoolName, value []byte, version uint64) error {
+// StoreJob stores a new job of a pool that this process owns.
+func (m *Manager) StoreJob(ctx context.Context, name job.PoolName, value []byte) (uint8, error) {
 	o := m.owned(name)
 	if o == nil {
-		return owner.ErrNotOwner
+		return 0, owner.ErrNotOwner
 	}
 	record, err := job.DecodeRecord(value)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	o.submit(&pool.JobStored{Record: record, Version: pool.RowVersion(version)})
-	return nil
+	result, err := o.writer.accept(ctx, record, value)
+	if err != nil {
+		m.logger.Warn("job of a peer is not stored", "job", record.ID, "result", result, "error", err)
+	}
+	return uint8(result), nil
 }
 
 // TellState returns the state of a job, "" if the owner does not know it.
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -20,16 +20,27 @@
 	writeTries = 20
 )
 
-// write is the storing of a job's progress or outcome.
+// write is the storing of a job, its progress or its outcome.
 type write struct {
 	id              job.ID
 	queue           job.QueueName
 	version         table.Version
 	progressVersion table.Version
 	seq             uint64
-	// value is the progress or the outcome.
+	// value is the job, the progress or the outcome.
 	value    []byte
 	finished bool
+	// accepted is set for a new job, and answered takes what became of it.
+	accepted *job.Record
+	answered chan acceptance
+	// unsure is true once the write may have taken effect.
+	unsure bool
+}
+
+// acceptance is the answer to the storing of a new job.
+type acceptance struct {
+	result Acceptance
+	err    error
 }
 
 func (w *write) key(name string) table.Key {
@@ -39,6 +50,12 @@
 // add puts the write's part into a transaction. The job's row stands for the
 // job not having ended; the progress row tells owners apart.
 func (w *write) add(tx *table.Tx) {
+	if w.accepted != nil {
+		tx.Expect(w.key(jobTable), 0)
+		tx.Expect(w.key(outcomeTable), 0)
+		tx.Put(w.key(jobTable), w.value)
+		return
+	}
 	tx.Expect(w.key(jobTable), w.version)
 	tx.Expect(w.key(progressTable), w.progressVersion)
 	if !w.finished {
@@ -63,19 +80,14 @@
 	sink   eventSink
 	logger *slog.Logger
 	queues chan *write
-	begun  bool
 }
 
 func newWriter(store Store, sink eventSink, logger *slog.Logger) *writer {
 	return &writer{store: store, sink: sink, logger: logger, queues: make(chan *write, inboxSize)}
 }
 
-// add queues an effect's write. It is called by one goroutine.
+// add queues an effect's write.
 func (w *writer) add(ctx context.Context, effect pool.Effect) {
-	if !w.begun {
-		w.begun = true
-		go w.run(ctx)
-	}
 	next, err := newWrite(effect)
 	if err != nil {
 		w.logger.Error("job cannot be encoded", "job", next.id, "error", err)
@@ -87,6 +99,25 @@
 	}
 }
 
+// accept stores a new job and returns what became of it.
+func (w *writer) accept(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
+	next := &write{
+		id: record.ID, queue: record.Queue, value: value,
+		accepted: record, answered: make(chan acceptance, 1),
+	}
+	select {
+	case w.queues <- next:
+	case <-ctx.Done():
+		return NotStored, ctx.Err()
+	}
+	select {
+	case a := <-next.answered:
+		return a.result, a.err
+	case <-ctx.Done():
+		return MayBeStored, ctx.Err()
+	}
+}
+
 func newWrite(effect pool.Effect) (*write, error) {
 	var w write
 	var err error
@@ -160,15 +191,18 @@
 		case errors.As(err, &conflict):
 			left := w.settle(ctx, batch, conflict)
 			if len(left) == len(batch) {
-				w.fail(batch)
+				w.failed(batch, err)
 				return
 			}
 			batch = left
 		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun || try >= writeTries:
 			w.logger.Warn("jobs are not saved", "queue", batch[0].queue, "count", len(batch), "error", err)
-			w.fail(batch)
+			w.failed(batch, err)
 			return
 		default:
+			for _, next := range batch {
+				next.unsure = true
+			}
 			w.logger.Warn("saving has no answer", "queue", batch[0].queue, "count", len(batch), "error", err)
 			sleep(ctx, pause.NextBackOff())
 		}
@@ -176,13 +210,27 @@
 }
 
 func (w *writer) saved(next *write, version table.Version) {
+	if next.accepted != nil {
+		w.sink.submit(&pool.JobStored{Record: next.accepted, Version: pool.RowVersion(version)})
+		next.answered <- acceptance{result: Stored}
+		return
+	}
 	w.sink.submit(&pool.JobSaved{
 		ID: next.id, Seq: next.seq, Version: pool.RowVersion(version), Finished: next.finished,
 	})
 }
 
-func (w *writer) fail(batch []*write) {
+// failed reports writes that are not known to have taken effect.
+func (w *writer) failed(batch []*write, err error) {
 	for _, next := range batch {
+		if next.accepted != nil {
+			result := NotStored
+			if next.unsure {
+				result = MayBeStored
+			}
+			next.answered <- acceptance{result: result, err: err}
+			continue
+		}
 		w.sink.submit(&pool.JobSaved{ID: next.id, Seq: next.seq, Failed: true})
 	}
 }
@@ -192,6 +240,14 @@
 	var left []*write
 	for _, next := range batch {
 		row, exists := conflict.Row(next.key(jobTable))
+		if next.accepted != nil {
+			if _, ended := conflict.Row(next.key(outcomeTable)); exists || ended {
+				next.answered <- acceptance{result: Stored} // the same job came before
+			} else {
+				left = append(left, next)
+			}
+			continue
+		}
 		progress, _ := conflict.Row(next.key(progressTable))
 		switch {
 		case !exists:
@@ -215,7 +271,7 @@
 	switch {
 	case err != nil:
 		w.logger.Warn("outcome is not read", "job", next.id, "error", err)
-		w.fail([]*write{next})
+		w.failed([]*write{next}, err)
 	case !found:
 		w.logger.Error("job has neither row nor outcome", "job", next.id)
 		w.sink.submit(&pool.JobEnded{ID: next.id, Outcome: job.Outcome{State: job.Cancelled, At: time.Now()}})
