Keep the store's parts free while it is slow

Ruled out: the group commit of owners (one transaction at a time). Change: each shard's claim has a part of its own and claims are read by feed; an entry stores jobs without an owner in batches too; an owner that ends answers what waits at once; a refused write is sent again by its writer only; a failed take-over waits for a newer claim.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -262,6 +262,17 @@
 	return tenure, true
 }
 
+// Failed notes that a shard was not taken over: its claim is not the one that
+// was read, or may be this process's and be found later.
+func (t *Tracker) Failed(now time.Time, w Write) {
+	delete(t.vacant, w.Shard)
+	if s := t.seen[w.Shard]; s != nil && s.row.Version == w.Expect {
+		s.row.Claim.Released = false
+		s.changed = now
+		s.row.Claim.Holder = ""
+	}
+}
+
 // Drop ends an ownership of this process.
 func (t *Tracker) Drop(shard Shard) { delete(t.own, shard) }
 
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -39,10 +39,14 @@
 	return hex.EncodeToString(b[:])
 }
 
+// claimKey returns where a shard's claim lies: in a part of its own, as a slow
+// store takes few transactions a second in one part.
 func claimKey(shard ownership.Shard) table.Key {
-	return table.Key{Table: claimTable, Name: string(shard)}
+	return table.Key{Table: claimTable, Part: string(shard), Name: claimName}
 }
 
+const claimName = "owner"
+
 // claim keeps this entry's claims and takes free shards over.
 func (m *Manager) claim(ctx context.Context) {
 	ticker := time.NewTicker(claimInterval)
@@ -76,20 +80,20 @@
 
 // readClaims brings the tracker up to date.
 func (m *Manager) readClaims(ctx context.Context) {
-	page, err := m.store.Rows(ctx, claimTable, "", "", "")
+	stored, err := m.claimRows(ctx)
 	if err != nil {
 		m.logger.Warn("claims are not read", "error", err)
 		return
 	}
 	var rows []ownership.Row
-	for _, row := range page.Rows {
+	for _, row := range stored {
 		var claim ownership.Claim
 		if err := json.Unmarshal(row.Value, &claim); err != nil {
-			m.logger.Error("claim is broken", "shard", row.Name, "error", err)
+			m.logger.Error("claim is broken", "shard", row.Part, "error", err)
 			continue
 		}
 		rows = append(rows, ownership.Row{
-			Shard: ownership.Shard(row.Name), Claim: claim, Version: ownership.Version(row.Version),
+			Shard: ownership.Shard(row.Part), Claim: claim, Version: ownership.Version(row.Version),
 		})
 	}
 	m.mu.Lock()
@@ -100,6 +104,41 @@
 	}
 }
 
+// claimRows returns the claims that have changed since the last call, or all.
+func (m *Manager) claimRows(ctx context.Context) ([]table.Row, error) {
+	if m.claimsRead > 0 {
+		page, err := m.store.Feed(ctx, claimTable, m.claimsRead, 0)
+		var failed *table.Failure
+		switch {
+		case err == nil:
+			if len(page.Rows) > 0 {
+				m.claimsRead = page.Version
+			}
+			return page.Rows, nil
+		case !errors.As(err, &failed) || !failed.HistoryLost:
+			return nil, err
+		}
+	}
+	_, version, err := m.readPart(ctx, claimTable, "") // for the version alone
+	if err != nil {
+		return nil, err
+	}
+	parts, err := m.store.Parts(ctx, claimTable)
+	if err != nil {
+		return nil, err
+	}
+	var rows []table.Row
+	for _, part := range parts {
+		more, _, err := m.readPart(ctx, claimTable, part)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, more...)
+	}
+	m.claimsRead = version
+	return rows, nil
+}
+
 // shards returns what there is to own.
 func (m *Manager) shards() []ownership.Shard {
 	c := m.catalog.Get()
@@ -119,15 +158,13 @@
 	m.mu.Lock()
 	writes := m.tracker.Plan(time.Now(), shards)
 	m.mu.Unlock()
-	var renewals []ownership.Write
+	var calls sync.WaitGroup
 	for _, w := range writes {
 		if !w.Begins {
-			renewals = append(renewals, w)
+			calls.Go(func() { m.renew(ctx, w) })
 		}
 	}
-	if len(renewals) > 0 {
-		m.renew(ctx, renewals)
-	}
+	calls.Wait()
 	for _, w := range writes {
 		if w.Begins {
 			if m.takeOver(ctx, w) && !w.Former {
@@ -137,67 +174,49 @@
 	}
 }
 
-func (m *Manager) renew(ctx context.Context, writes []ownership.Write) {
+func (m *Manager) renew(ctx context.Context, w ownership.Write) {
 	sent := time.Now()
-	var tx table.Tx
-	for _, w := range writes {
-		if err := addClaim(&tx, w); err != nil {
-			m.logger.Error("claim cannot be encoded", "shard", w.Shard, "error", err)
-			return
-		}
-	}
-	version, err := m.store.Commit(ctx, &tx)
+	version, err := m.writeClaim(ctx, w)
 	var conflict *table.Conflict
 	switch {
 	case err == nil:
 		m.mu.Lock()
-		for _, w := range writes {
-			m.tracker.Written(sent, w, ownership.Version(version))
-		}
+		m.tracker.Written(sent, w, version)
 		m.mu.Unlock()
 	case errors.As(err, &conflict):
-		m.logger.Warn("claims have changed", "count", len(writes))
-		m.readClaims(ctx)
+		m.logger.Warn("claim has changed", "shard", w.Shard)
 	default:
-		m.logger.Warn("claims are not renewed", "count", len(writes), "error", err)
+		m.logger.Warn("claim is not renewed", "shard", w.Shard, "error", err)
 	}
 }
 
-func addClaim(tx *table.Tx, w ownership.Write) error {
+// writeClaim stores a claim and returns its version.
+func (m *Manager) writeClaim(ctx context.Context, w ownership.Write) (ownership.Version, error) {
 	value, err := json.Marshal(w.Claim)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	tx.Expect(claimKey(w.Shard), table.Version(w.Expect))
-	tx.Put(claimKey(w.Shard), value)
-	return nil
-}
-
-// writeClaim stores one claim.
-func (m *Manager) writeClaim(ctx context.Context, w ownership.Write) error {
-	var tx table.Tx
-	if err := addClaim(&tx, w); err != nil {
-		return err
-	}
-	_, err := m.store.Commit(ctx, &tx)
-	return err
+	key := claimKey(w.Shard)
+	tx := table.Tx{Part: key.Part}
+	tx.Expect(key, table.Version(w.Expect))
+	tx.Put(key, value)
+	version, err := m.store.Commit(ctx, &tx)
+	return ownership.Version(version), err
 }
 
 // takeOver reports whether the shard is this entry's now.
 func (m *Manager) takeOver(ctx context.Context, w ownership.Write) bool {
 	sent := time.Now()
-	var tx table.Tx
-	if err := addClaim(&tx, w); err != nil {
-		m.logger.Error("claim cannot be encoded", "shard", w.Shard, "error", err)
-		return false
-	}
-	version, err := m.store.Commit(ctx, &tx)
+	version, err := m.writeClaim(ctx, w)
 	if err != nil {
 		m.logger.Info("shard is not taken over", "shard", w.Shard, "error", err)
+		m.mu.Lock()
+		m.tracker.Failed(sent, w)
+		m.mu.Unlock()
 		return false
 	}
 	m.mu.Lock()
-	tenure, _ := m.tracker.Written(sent, w, ownership.Version(version))
+	tenure, _ := m.tracker.Written(sent, w, version)
 	m.mu.Unlock()
 	m.logger.Info("shard taken over", "shard", w.Shard, "epoch", tenure.Epoch, "fence", tenure.Fence, "previous", tenure.Previous)
 	m.beginShard(ctx, tenure)
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -25,8 +25,6 @@
 )
 
 const (
-	// submitTries is how often a submission without an answer is stored again.
-	submitTries = 3
 	// cancelTries bounds the races of a cancellation with the job's owner.
 	cancelTries = 4
 	// acceptTimeout bounds the storing of a job by the pool's owner; it leaves a
@@ -45,16 +43,25 @@
 		return NotStored, err
 	}
 	result, err := m.submitToOwner(ctx, record, value)
-	if result == Stored || (err == nil && result == MayBeStored) {
+	if err == nil {
+		return result, nil
+	}
+	if result == MayBeStored && ctx.Err() != nil {
 		return result, err
 	}
-	direct, err := m.submitDirect(ctx, record, value)
+	direct, err := m.direct.accept(ctx, record, value)
 	if direct == NotStored {
 		return result, err // what the owner was told may still take effect
 	}
 	return direct, err
 }
 
+// discard is the sink of jobs that this entry stores for the owner of another,
+// which finds them in the feed.
+type discard struct{}
+
+func (discard) submit(pool.Event) {}
+
 // submitToOwner has the pool's owner store a job.
 func (m *Manager) submitToOwner(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
@@ -76,31 +83,6 @@
 	return Acceptance(result), nil
 }
 
-// submitDirect stores a job without the pool's owner, which finds it in the feed.
-func (m *Manager) submitDirect(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
-	key := table.Key{Table: jobTable, Part: string(record.Queue), Name: string(record.ID)}
-	tx := table.Tx{Part: key.Part}
-	tx.Expect(key, 0)
-	tx.Expect(table.Key{Table: outcomeTable, Part: key.Part, Name: key.Name}, 0)
-	tx.Put(key, value)
-	result := NotStored
-	for range submitTries {
-		_, err := m.store.Commit(ctx, &tx)
-		var conflict *table.Conflict
-		switch {
-		case err == nil || errors.As(err, &conflict):
-			return Stored, nil
-		case notRun(err):
-			return result, err
-		}
-		result = MayBeStored
-		if ctx.Err() != nil {
-			return result, err
-		}
-	}
-	return result, errors.New("the store does not answer")
-}
-
 // ErrUnknownJob says that there is no such job.
 var ErrUnknownJob = errors.New("job does not exist")
 
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -93,9 +93,13 @@
 	instances Instances
 	records   Records
 	peers     *owner.Peers
-	logger    *slog.Logger
+	// direct stores jobs whose pool has no owner that answers.
+	direct *writer
+	logger *slog.Logger
 
 	catalog catalog.Holder
+	// claimsRead is the version up to which claims were read.
+	claimsRead table.Version
 	// claimsChanged wakes the loop that takes shards over.
 	claimsChanged chan struct{}
 	// stopping is true once the entry is about to end.
@@ -147,6 +151,7 @@
 	m.tracker = ownership.New(o.Name, o.Address, incarnation, time.Now())
 	m.peers = owner.NewPeers(m, o.Logger)
 	m.store = newRelay(store, m.peers, m.otherEntries, o.Logger)
+	m.direct = newWriter(m.store, discard{}, o.Logger)
 	return m
 }
 
@@ -175,6 +180,10 @@
 		m.claim(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		m.direct.run(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		m.store.probe(ctx)
 		return nil
@@ -197,7 +206,7 @@
 		m.endShard(w.Shard, "stopping")
 	}
 	for _, w := range releases {
-		if err := m.writeClaim(ctx, w); err != nil {
+		if _, err := m.writeClaim(ctx, w); err != nil {
 			m.logger.Warn("claim is not released", "shard", w.Shard, "error", err)
 		}
 	}
--- a/manager/relay.go
+++ b/manager/relay.go
@@ -172,13 +172,10 @@
 		if !r.out() {
 			continue
 		}
-		_, err := r.direct.Rows(ctx, claimTable, "", fleetProbe, fleetProbe+"\x00")
+		_, err := r.direct.Rows(ctx, claimTable, string(fleetShard), "", "")
 		if err == nil {
 			r.logger.Info("store answers again")
 		}
 		r.note(err)
 	}
 }
-
-// fleetProbe names the row that a probe reads.
-const fleetProbe = string(fleetShard)
--- a/manager/serve.go
+++ b/manager/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"bronzestair/core/job"
@@ -22,6 +23,9 @@
 		return 0, err
 	}
 	result, err := o.writer.accept(ctx, record, value)
+	if errors.Is(err, errNoOwner) && result == NotStored {
+		return 0, owner.ErrNotOwner
+	}
 	if err != nil {
 		m.logger.Warn("job of a peer is not stored", "job", record.ID, "result", result, "error", err)
 	}
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"bronzestair/core/job"
@@ -14,8 +15,11 @@
 )
 
 const (
-	// writeBatch is how many jobs share a transaction, five entries each at most.
-	writeBatch = 18
+	// writeEntries is the most entries that one write adds to a transaction.
+	writeEntries = 5
+	// refusedTries is how often a write that the store refused is sent again,
+	// while a caller waits for it.
+	refusedTries = 3
 	// writeTries is how often a write whose answer was lost is sent again.
 	writeTries = 20
 )
@@ -33,7 +37,8 @@
 	// accepted is set for a new job, and answered takes what became of it.
 	accepted *job.Record
 	answered chan acceptance
-	// unsure is true once the write may have taken effect.
+	// begun is true once the write was sent, unsure once it may have taken effect.
+	begun  atomic.Bool
 	unsure bool
 }
 
@@ -80,10 +85,12 @@
 	sink   eventSink
 	logger *slog.Logger
 	queues chan *write
+	// ended is closed when the writer writes no more.
+	ended chan struct{}
 }
 
 func newWriter(store Store, sink eventSink, logger *slog.Logger) *writer {
-	return &writer{store: store, sink: sink, logger: logger, queues: make(chan *write, inboxSize)}
+	return &writer{store: store, sink: sink, logger: logger, queues: make(chan *write, inboxSize), ended: make(chan struct{})}
 }
 
 // add queues an effect's write.
@@ -107,39 +114,44 @@
 	}
 	select {
 	case w.queues <- next:
+	case <-w.ended:
+		return NotStored, errNoOwner
 	case <-ctx.Done():
 		return NotStored, ctx.Err()
 	}
 	select {
 	case a := <-next.answered:
 		return a.result, a.err
+	case <-w.ended:
 	case <-ctx.Done():
-		return MayBeStored, ctx.Err()
 	}
+	if next.begun.Load() {
+		return MayBeStored, errNoOwner
+	}
+	return NotStored, errNoOwner
 }
 
-func newWrite(effect pool.Effect) (*write, error) {
-	var w write
-	var err error
+func newWrite(effect pool.Effect) (w *write, err error) {
 	switch e := effect.(type) {
 	case *pool.SaveJob:
-		w = write{
+		w = &write{
 			id: e.ID, queue: e.Queue, seq: e.Seq,
 			version: table.Version(e.Version), progressVersion: table.Version(e.ProgressVersion),
 		}
 		w.value, err = e.Progress.Encode()
 	case *pool.FinishJob:
-		w = write{
+		w = &write{
 			id: e.ID, queue: e.Queue, seq: e.Seq, finished: true,
 			version: table.Version(e.Version), progressVersion: table.Version(e.ProgressVersion),
 		}
 		w.value, err = e.Outcome.Encode()
 	}
-	return &w, err
+	return w, err
 }
 
 // run collects writes by queue while a transaction of the queue is under way.
 func (w *writer) run(ctx context.Context) {
+	defer close(w.ended)
 	pending := map[job.QueueName][]*write{}
 	busy := map[job.QueueName]bool{}
 	finished := make(chan job.QueueName)
@@ -156,9 +168,8 @@
 			if busy[queue] || len(writes) == 0 {
 				continue
 			}
-			n := min(len(writes), writeBatch)
-			batch := writes[:n]
-			pending[queue] = writes[n:]
+			batch, rest := cut(writes)
+			pending[queue] = rest
 			busy[queue] = true
 			go func() {
 				w.commit(ctx, batch)
@@ -171,8 +182,23 @@
 	}
 }
 
+// cut returns the first writes that fit into a transaction, and the others.
+func cut(writes []*write) (batch, rest []*write) {
+	var tx table.Tx
+	for i, next := range writes {
+		if tx.Entries()+writeEntries > table.MaxTxEntries {
+			return writes[:i], writes[i:]
+		}
+		next.add(&tx)
+	}
+	return writes, nil
+}
+
 // commit stores a batch and reports on each of its writes.
 func (w *writer) commit(ctx context.Context, batch []*write) {
+	for _, next := range batch {
+		next.begun.Store(true)
+	}
 	pause := newBackoff()
 	for try := 0; len(batch) > 0 && ctx.Err() == nil; try++ {
 		tx := table.Tx{Part: string(batch[0].queue)}
@@ -195,6 +221,8 @@
 				return
 			}
 			batch = left
+		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun && try < refusedTries:
+			sleep(ctx, pause.NextBackOff())
 		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun || try >= writeTries:
 			w.logger.Warn("jobs are not saved", "queue", batch[0].queue, "count", len(batch), "error", err)
 			w.failed(batch, err)
