Withdraw jobs whose callers were told that they are not stored

Ruled out: the relay and the direct way (neither had sent the job). Change: a write is withdrawn or sent, never both. Besides: stuck tasks run elsewhere, registrations that lapsed in an outage have 2 s to return, old outcomes are swept, SIGHUP checks the settings. Figures: TestWithdrawnJobIsNotWritten fails without the stage of a write.

--- a/cmd/bronzestair-entry/main.go
+++ b/cmd/bronzestair-entry/main.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 
@@ -45,8 +46,6 @@
 func run(out *logs.Writer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// The settings are read at each start; a change of the file alone needs no reaction.
-	signal.Ignore(syscall.SIGHUP)
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return fmt.Errorf("the variable %s is not set", platform.SettingsVariable)
@@ -60,5 +59,27 @@
 	if err != nil {
 		return err
 	}
+	go watchSettings(ctx, path, settings, logger)
 	return entry.Run(ctx)
 }
+
+// watchSettings checks the settings file at each SIGHUP. Its addresses and
+// bounds hold for the life of the process; a change takes effect at the next start.
+func watchSettings(ctx context.Context, path string, current *platform.Settings, logger *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		next, err := platform.ReadSettings(path)
+		if err != nil {
+			logger.Error("settings are not valid; the old ones stay in use", "error", err)
+			continue
+		}
+		logger.Info("settings read again", "changed", !reflect.DeepEqual(next, current), "inUse", "from the next start")
+	}
+}
--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -97,7 +97,6 @@
 	begun map[InstanceID]bool
 	// reported is the last state that was reported to the operator.
 	reported string
-	loaded   bool
 }
 
 // Planner is the reducer of a fleet's maintenance. Use New.
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -67,3 +67,32 @@
 	}
 	t.step.runMean = (t.step.runMean*3 + took) / 4
 }
+
+// Tasks that stand still. It answers workers that take tasks and do nothing.
+const (
+	// stuckAfter is the least time without any progress after which a task is
+	// taken for stuck; progress is read about once a second.
+	stuckAfter = 2500 * time.Millisecond
+	// stuckShare of the estimated run time is allowed for one percent of progress.
+	stuckShare = 20
+)
+
+// stopStuck ends tasks that have made no progress for long, to run elsewhere.
+func (p *Pool) stopStuck(now time.Time) {
+	for _, r := range p.runners {
+		if now.Sub(r.answered) > silentAfter {
+			continue
+		}
+		for _, t := range r.tasks {
+			spec := t.step.spec
+			if t.state != running || spec.Persistent || spec.Gang || spec.Fills {
+				continue
+			}
+			if now.Sub(t.moved) > max(stuckAfter, spec.EstimatedRuntime/stuckShare) {
+				t.avoid = r.ID
+				r.health.fail(now, t.id.Job)
+				p.stopTask(now, t, "no progress")
+			}
+		}
+	}
+}
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -79,8 +79,6 @@
 	number int
 	steps  []*stepState
 	due    time.Time
-	// finished tells that the last task has ended.
-	finished bool
 }
 
 // jobState is an accepted job.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -297,3 +297,31 @@
 		})
 	}
 }
+
+// TestStuckTaskRunsElsewhere replays a worker on which tasks stand still.
+func TestStuckTaskRunsElsewhere(t *testing.T) {
+	r := newRig(t, Options{})
+	r.runners("r1", "r2")
+	r.held("r1", nil, nil)
+	r.held("r2", nil, nil)
+	effects := r.store(id(1), false, oneTask())
+	at := of[*StartTask](effects)[0].Runner.ID
+	r.started(effects)
+	var stops []*StopTask
+	for range 40 {
+		effects := r.held(at, []RunningTask{{Task: name(1, 0, 0), Run: 1, Percent: 3}}, nil)
+		stops = append(stops, of[*StopTask](append(effects, r.pass(100*time.Millisecond)...))...)
+		if len(stops) > 0 {
+			break
+		}
+	}
+	if len(stops) != 1 {
+		t.Fatalf("stops = %v, want one", stops)
+	}
+	r.send(&TaskStopped{Runner: at, Task: name(1, 0, 0), Run: 1, Call: Done})
+	effects = r.held(at, nil, []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 1, How: EndStopped}})
+	again := of[*StartTask](effects)
+	if len(again) != 1 || again[0].Runner.ID == at {
+		t.Errorf("starts = %v, want one on the other runner", starts(effects))
+	}
+}
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -258,6 +258,7 @@
 	}
 	p.resolveOrders(now)
 	p.evacuate(now)
+	p.stopStuck(now)
 	p.pace(now)
 	p.activate(now)
 }
--- a/manager/fleet.go
+++ b/manager/fleet.go
@@ -74,6 +74,7 @@
 	planner := maintenance.New(options)
 	f.begun = f.loadWaves(ctx)
 	go f.store(ctx)
+	go f.sweep(ctx)
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -27,6 +27,9 @@
 	// returnGrace is how long runners that lapsed while the store was away may
 	// take to register again.
 	returnGrace = 2 * time.Second
+	// outageTime is how long without an answer counts as an outage: a feed answers
+	// after feedWait at the latest.
+	outageTime = feedWait + 1500*time.Millisecond
 )
 
 // changes are rows of a followed table. If full is true they are all there are.
@@ -73,12 +76,15 @@
 // followFrom hands changes to apply until the history is lost.
 func (m *Manager) followFrom(ctx context.Context, name string, after table.Version, rest func() time.Duration, apply func(context.Context, changes)) {
 	pause := newBackoff()
+	answered := time.Now()
 	for ctx.Err() == nil {
 		page, err := m.store.Feed(ctx, name, after, feedWait)
 		var failed *table.Failure
 		switch {
 		case err == nil:
 			pause.Reset()
+			m.noteAnswer(answered)
+			answered = time.Now()
 		case errors.As(err, &failed) && failed.HistoryLost:
 			m.logger.Info("history of table is lost", "table", name, "after", after)
 			return
@@ -96,6 +102,17 @@
 	}
 }
 
+// noteAnswer notes the return of the store if its last answer was long ago.
+func (m *Manager) noteAnswer(last time.Time) {
+	if time.Since(last) < outageTime {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.returned = time.Now()
+	m.logger.Info("store has returned", "away", time.Since(last))
+}
+
 // readPart reads all rows of a part, and the version as of the first page.
 func (m *Manager) readPart(ctx context.Context, name, part string) ([]table.Row, table.Version, error) {
 	var rows []table.Row
@@ -168,12 +185,15 @@
 func (m *Manager) applyRunnerRows(_ context.Context, c changes) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := time.Now()
 	if c.full {
-		clear(m.registered)
+		for name := range m.registered {
+			m.unregister(now, name)
+		}
 	}
 	for _, row := range c.rows {
 		if row.Removed {
-			delete(m.registered, row.Name)
+			m.unregister(now, row.Name)
 			continue
 		}
 		name, runner, err := m.records.Runner(row)
@@ -184,12 +204,31 @@
 		}
 		m.registered[row.Name] = registration{pool: name, runner: runner}
 	}
+	for name, r := range m.registered {
+		if !r.lapsed.IsZero() && now.Sub(r.lapsed) > returnGrace {
+			delete(m.registered, name)
+		}
+	}
 	m.lastListed = time.Now()
 	for _, o := range m.pools {
 		o.submit(m.runnersOf(o.name))
 	}
 }
 
+// unregister drops a runner whose row is gone. Rows that lapsed while the store
+// was away may come back. The caller holds the lock.
+func (m *Manager) unregister(now time.Time, name string) {
+	r := m.registered[name]
+	if now.Sub(m.returned) > returnGrace {
+		delete(m.registered, name)
+		return
+	}
+	if r.pool != "" && r.lapsed.IsZero() {
+		r.lapsed = now
+		m.registered[name] = r
+	}
+}
+
 // runnersOf returns the registered runners of a pool. The caller holds the lock.
 func (m *Manager) runnersOf(name job.PoolName) *pool.RunnersListed {
 	event := &pool.RunnersListed{}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -112,14 +112,18 @@
 	// registered and waves mirror the shared tables.
 	registered map[string]registration
 	lastListed time.Time
-	waves      map[maintenance.WaveNumber]maintenance.Wave
-	group      *errgroup.Group
+	// returned is when the store last came back from an outage.
+	returned time.Time
+	waves    map[maintenance.WaveNumber]maintenance.Wave
+	group    *errgroup.Group
 }
 
 // registration is a runner's row, decoded.
 type registration struct {
 	pool   job.PoolName
 	runner pool.Runner
+	// lapsed is when the row went, shortly after an outage of the store.
+	lapsed time.Time
 }
 
 // fleetShard is the shard whose owner maintains the instances.
--- a/manager/meter.go
+++ b/manager/meter.go
@@ -8,7 +8,12 @@
 	"bronzestair/core/pool"
 )
 
-var errNoOwner = errors.New("the pool has no owner for now")
+// Reasons why a job is not stored, or not known to be.
+var (
+	errNoOwner  = errors.New("the pool has no owner for now")
+	errNotSent  = errors.New("the write was not sent in time")
+	errNoAnswer = errors.New("the write has no answer in time")
+)
 
 // Meter counts what the manager does.
 type Meter interface {
--- /dev/null
+++ b/manager/sweep.go
@@ -0,0 +1,67 @@
+package manager
+
+import (
+	"context"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/table"
+)
+
+const (
+	// sweepInterval is how often old outcomes are looked for.
+	sweepInterval = 1 * time.Minute
+	// sweepFactor times the retention is how long outcomes stay in the store.
+	sweepFactor = 2
+	// sweepBatch is how many rows one transaction removes.
+	sweepBatch = 50
+)
+
+// sweep removes the outcomes that nobody may ask for any more.
+func (f *fleetOwner) sweep(ctx context.Context) {
+	for {
+		sleep(ctx, sweepInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		parts, err := f.m.store.Parts(ctx, outcomeTable)
+		if err != nil {
+			f.m.logger.Warn("outcomes are not swept", "error", err)
+			continue
+		}
+		for _, part := range parts {
+			if err := f.sweepPart(ctx, part); err != nil {
+				f.m.logger.Warn("outcomes are not swept", "queue", part, "error", err)
+			}
+		}
+	}
+}
+
+func (f *fleetOwner) sweepPart(ctx context.Context, part string) error {
+	rows, _, err := f.m.readPart(ctx, outcomeTable, part)
+	if err != nil {
+		return err
+	}
+	old := time.Now().Add(-sweepFactor * f.m.options.Retention)
+	tx := table.Tx{Part: part}
+	for _, row := range rows {
+		outcome, err := job.DecodeOutcome(row.Value)
+		if err != nil {
+			f.m.logger.Error("outcome is broken", "queue", part, "job", row.Name, "error", err)
+		}
+		if err == nil && outcome.At.Before(old) {
+			tx.Remove(row.Key)
+		}
+		if len(tx.Removes) == sweepBatch {
+			if _, err := f.m.store.Commit(ctx, &tx); err != nil {
+				return err
+			}
+			tx.Removes = nil
+		}
+	}
+	if len(tx.Removes) == 0 {
+		return nil
+	}
+	_, err = f.m.store.Commit(ctx, &tx)
+	return err
+}
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,11 +38,19 @@
 	// accepted is set for a new job, and answered takes what became of it.
 	accepted *job.Record
 	answered chan acceptance
-	// begun is true once the write was sent, unsure once it may have taken effect.
-	begun  atomic.Bool
+	// stage decides between sending the write and withdrawing it.
+	stage atomic.Int32
+	// unsure is true once the write may have taken effect.
 	unsure bool
 }
 
+// The stages of a write.
+const (
+	stageWaiting int32 = iota
+	stageSent
+	stageWithdrawn
+)
+
 // acceptance is the answer to the storing of a new job.
 type acceptance struct {
 	result Acceptance
@@ -115,9 +124,9 @@
 	select {
 	case w.queues <- next:
 	case <-w.ended:
-		return NotStored, errNoOwner
+		return NotStored, errNotSent
 	case <-ctx.Done():
-		return NotStored, ctx.Err()
+		return NotStored, errNotSent
 	}
 	select {
 	case a := <-next.answered:
@@ -125,10 +134,10 @@
 	case <-w.ended:
 	case <-ctx.Done():
 	}
-	if next.begun.Load() {
-		return MayBeStored, errNoOwner
+	if next.stage.CompareAndSwap(stageWaiting, stageWithdrawn) {
+		return NotStored, errNotSent
 	}
-	return NotStored, errNoOwner
+	return MayBeStored, errNoAnswer
 }
 
 func newWrite(effect pool.Effect) (w *write, err error) {
@@ -196,9 +205,9 @@
 
 // commit stores a batch and reports on each of its writes.
 func (w *writer) commit(ctx context.Context, batch []*write) {
-	for _, next := range batch {
-		next.begun.Store(true)
-	}
+	batch = slices.DeleteFunc(slices.Clone(batch), func(next *write) bool {
+		return !next.stage.CompareAndSwap(stageWaiting, stageSent)
+	})
 	pause := newBackoff()
 	for try := 0; len(batch) > 0 && ctx.Err() == nil; try++ {
 		tx := table.Tx{Part: string(batch[0].queue)}
--- /dev/null
+++ b/manager/writer_test.go
@@ -0,0 +1,249 @@
+package manager
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+	"bronzestair/core/verdict"
+)
+
+func want(t *testing.T, what string, got, expected any) {
+	t.Helper()
+	if diff := cmp.Diff(expected, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+// memory is a store in memory. Each call of Commit first asks fault, if it is set.
+type memory struct {
+	mu      sync.Mutex
+	rows    map[table.Key]table.Row
+	version table.Version
+	commits int
+	// fault returns an error for a transaction, and whether it takes effect all
+	// the same.
+	fault func(n int) (err error, applied bool)
+}
+
+func newMemory() *memory { return &memory{rows: map[table.Key]table.Row{}} }
+
+func (m *memory) Answered() time.Time { return time.Now() }
+
+func (m *memory) Commit(_ context.Context, tx *table.Tx) (table.Version, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commits++
+	if m.fault != nil {
+		if err, applied := m.fault(m.commits); err != nil {
+			if applied {
+				m.apply(tx)
+			}
+			return 0, err
+		}
+	}
+	return m.apply(tx)
+}
+
+func (m *memory) apply(tx *table.Tx) (table.Version, error) {
+	conflict := &table.Conflict{}
+	holds := true
+	for _, e := range tx.Expects {
+		row := m.rows[e.Key]
+		if row.Version > 0 {
+			conflict.Rows = append(conflict.Rows, row)
+		}
+		holds = holds && row.Version == e.Version
+	}
+	if !holds {
+		return 0, conflict
+	}
+	m.version++
+	for _, p := range tx.Puts {
+		m.rows[p.Key] = table.Row{Key: p.Key, Value: p.Value, Version: m.version}
+	}
+	for _, k := range tx.Removes {
+		delete(m.rows, k)
+	}
+	return m.version, nil
+}
+
+func (m *memory) Rows(_ context.Context, name, part, from, to string) (*table.Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	page := &table.Page{Version: m.version}
+	for key, row := range m.rows {
+		if key.Table == name && key.Part == part && key.Name >= from && (to == "" || key.Name < to) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, nil
+}
+
+func (m *memory) Parts(context.Context, string) ([]string, error) { return nil, nil }
+
+func (m *memory) Feed(context.Context, string, table.Version, time.Duration) (*table.Page, error) {
+	return &table.Page{}, nil
+}
+
+// recorder keeps the events that a writer reports.
+type recorder struct {
+	mu     sync.Mutex
+	events []pool.Event
+}
+
+func (r *recorder) submit(e pool.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, e)
+}
+
+const testID job.ID = "00000000000000aa"
+
+func testRecord() (*job.Record, []byte) {
+	record := &job.Record{
+		Pool: "booking", Queue: "seats", ID: testID,
+		Spec: job.Spec{Steps: []job.Step{{Count: 1}}}, Accepted: time.Unix(1, 0).UTC(),
+	}
+	value, err := record.Encode()
+	if err != nil {
+		panic(err) // the record is a constant
+	}
+	return record, value
+}
+
+var (
+	errLost    = &table.Failure{Verdict: verdict.MayHaveRun, Reason: "no answer"}
+	errRefused = &table.Failure{Verdict: verdict.NotRun, Reason: "status 503"}
+)
+
+func TestAcceptTellsTheTruth(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  func(n int) (error, bool)
+		result Acceptance
+		stored bool
+	}{
+		{"stored", nil, Stored, true},
+		{"answer lost after the write", func(n int) (error, bool) {
+			if n == 1 {
+				return errLost, true
+			}
+			return nil, false
+		}, Stored, true},
+		{"answer lost before the write", func(n int) (error, bool) {
+			if n == 1 {
+				return errLost, false
+			}
+			return nil, false
+		}, Stored, true},
+		{"refused", func(int) (error, bool) { return errRefused, false }, NotStored, false},
+		{"lost, then refused", func(n int) (error, bool) {
+			if n == 1 {
+				return errLost, true
+			}
+			return errRefused, false
+		}, MayBeStored, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := newMemory()
+			store.fault = c.fault
+			w := newWriter(store, &recorder{}, slog.New(slog.DiscardHandler))
+			go w.run(t.Context())
+			record, value := testRecord()
+			result, _ := w.accept(t.Context(), record, value)
+			want(t, "result", result, c.result)
+			want(t, "stored", len(store.rows) == 1, c.stored)
+		})
+	}
+}
+
+func TestSameJobAgainIsStored(t *testing.T) {
+	store := newMemory()
+	w := newWriter(store, &recorder{}, slog.New(slog.DiscardHandler))
+	go w.run(t.Context())
+	record, value := testRecord()
+	for range 2 {
+		result, err := w.accept(t.Context(), record, value)
+		if err != nil || result != Stored {
+			t.Fatalf("accept = %v, %v, want stored", result, err)
+		}
+	}
+	want(t, "versions", store.version, table.Version(1))
+}
+
+// TestWithdrawnJobIsNotWritten replays a store that is silent for longer than a
+// caller waits: a job that was told to be not stored must never be.
+func TestWithdrawnJobIsNotWritten(t *testing.T) {
+	store := newMemory()
+	entered, release := make(chan struct{}), make(chan struct{})
+	store.fault = func(n int) (error, bool) {
+		if n == 1 {
+			close(entered)
+			<-release
+		}
+		return nil, false
+	}
+	w := newWriter(store, &recorder{}, slog.New(slog.DiscardHandler))
+	go w.run(t.Context())
+	record, value := testRecord()
+	first := *record
+	first.ID = "00000000000000bb"
+	go w.accept(t.Context(), &first, value)
+	<-entered
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	result, _ := w.accept(gone, record, value)
+	want(t, "result", result, NotStored)
+	close(release)
+	third := *record
+	third.ID = "00000000000000cc"
+	if result, err := w.accept(t.Context(), &third, value); result != Stored {
+		t.Fatalf("accept = %v, %v, want stored", result, err)
+	}
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	key := table.Key{Table: jobTable, Part: "seats", Name: string(testID)}
+	if _, ok := store.rows[key]; ok {
+		t.Error("the withdrawn job is stored")
+	}
+}
+
+func TestLostAnswerOfProgressIsRecognized(t *testing.T) {
+	store := newMemory()
+	events := &recorder{}
+	w := newWriter(store, events, slog.New(slog.DiscardHandler))
+	record, value := testRecord()
+	go w.run(t.Context())
+	if result, err := w.accept(t.Context(), record, value); result != Stored {
+		t.Fatalf("accept = %v, %v, want stored", result, err)
+	}
+	store.mu.Lock()
+	store.commits = 0
+	store.fault = func(n int) (error, bool) {
+		if n == 1 {
+			return errLost, true
+		}
+		return nil, false
+	}
+	store.mu.Unlock()
+	next, err := newWrite(&pool.SaveJob{
+		Queue: "seats", ID: testID, Version: 1, Seq: 5,
+		Progress: &job.Progress{Done: map[string][]byte{"0.0": {1}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.commit(t.Context(), []*write{next})
+	events.mu.Lock()
+	defer events.mu.Unlock()
+	want(t, "last event", events.events[len(events.events)-1], pool.Event(&pool.JobSaved{ID: testID, Seq: 5, Version: 2}))
+}
