Rule a start without an answer out before the task goes elsewhere

Cause: found by a fault matrix in virtual time (a fake fleet with its own record): when the answer to a start was lost, a refusal of the second order, or an answer after the task was listed, let the task go to another runner while the first order had been carried out: started again after its end, or never finished. Change: a run with an order that had no answer is stopped and ruled out first; the reducer goes over jobs, runners and tasks in a fixed order; running work counts before a job is admitted.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -12,6 +12,7 @@
 package job
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"regexp"
@@ -66,6 +67,14 @@
 	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// Compare orders tasks by their parts.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(
+		cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence),
+		cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index),
+	)
+}
+
 // StepKey returns the name of the task's step.
 func (t TaskID) StepKey() string {
 	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -10,7 +10,7 @@
 
 // activate starts the occurrences that have become due.
 func (p *Pool) activate(now time.Time) {
-	for _, j := range p.jobs {
+	for _, j := range p.jobOrder {
 		if j.record.Spec.Repeat.Count == 0 || j.outcome != "" || !p.extend(now, j) {
 			continue
 		}
@@ -41,7 +41,7 @@
 
 func (p *Pool) usableRunners(now time.Time) []*runnerState {
 	var out []*runnerState
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		if r.usable(now) {
 			out = append(out, r)
 		}
--- a/core/pool/evacuate.go
+++ b/core/pool/evacuate.go
@@ -7,11 +7,11 @@
 // evacuate empties cordoned and draining runners of persistent tasks, as far as
 // their steps may miss some. Other tasks end by themselves.
 func (p *Pool) evacuate(now time.Time) {
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		if !r.cordoned && !r.Draining {
 			continue
 		}
-		for _, t := range r.tasks {
+		for _, t := range r.sortedTasks() {
 			if t.step.spec.Persistent && t.state == running && p.mayInterrupt(now, t) {
 				p.stopTask(now, t, "evacuation")
 			}
@@ -49,16 +49,16 @@
 
 // pace slows the fillers of each runner on which a serving task is near its target.
 func (p *Pool) pace(now time.Time) {
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		worst := 0.0
 		serving := false
-		for _, t := range r.tasks {
+		for _, t := range r.sortedTasks() {
 			if target := t.step.spec.LatencyTarget; target > 0 && t.state == running {
 				serving = true
 				worst = max(worst, float64(t.tail)/float64(target))
 			}
 		}
-		for _, t := range r.tasks {
+		for _, t := range r.sortedTasks() {
 			if t.step.spec.Fills && t.state == running {
 				p.paceFiller(now, r, t, serving, worst)
 			}
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -79,11 +79,11 @@
 
 // stopStuck ends tasks that have made no progress for long, to run elsewhere.
 func (p *Pool) stopStuck(now time.Time) {
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		if now.Sub(r.answered) > silentAfter {
 			continue
 		}
-		for _, t := range r.tasks {
+		for _, t := range r.sortedTasks() {
 			spec := t.step.spec
 			if t.state != running || spec.Persistent || spec.Gang || spec.Fills {
 				continue
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,7 +27,7 @@
 
 // holdRunners emits the calls that are due.
 func (p *Pool) holdRunners(now time.Time) {
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		if r.holding || now.Before(r.holdNext) {
 			continue
 		}
@@ -311,9 +312,7 @@
 		}
 		return false
 	})
-	for id, run := range r.strangers {
-		if listed[id] && now.Sub(e.Sent) >= 0 {
-			p.emit(&StopTask{Runner: r.Runner, Task: id, Run: run, Fence: p.options.Fence})
-		}
+	for _, id := range slices.SortedFunc(maps.Keys(r.strangers), job.TaskID.Compare) {
+		p.emit(&StopTask{Runner: r.Runner, Task: id, Run: r.strangers[id], Fence: p.options.Fence})
 	}
 }
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -42,6 +42,7 @@
 	ordered   time.Time // when the last order was sent
 	orders    int       // orders of this run that were sent
 	inFlight  bool
+	unsure    bool // an order of this run had no answer
 	confirmed time.Time
 	voidAfter time.Time // when an unconfirmed start can no longer take effect
 	stopped   time.Time // when a stop was confirmed
@@ -133,7 +134,7 @@
 	if j.inherited {
 		j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
 	}
-	p.jobs[id] = j
+	p.addJob(j)
 	if !j.inherited {
 		p.arrivals.add(now, &e.Record.Spec)
 	}
@@ -157,7 +158,8 @@
 func (e *JobsLoaded) apply(p *Pool, now time.Time) {
 	p.loading = false
 	p.changed = true
-	for id, j := range p.jobs {
+	for _, j := range p.jobOrder {
+		id := j.id()
 		if j.version <= e.Version && !e.Present[id] {
 			(&JobRemoved{ID: id}).apply(p, now)
 		}
@@ -285,7 +287,7 @@
 	if t.runner != nil {
 		t.runner.release(t)
 	}
-	t.orders, t.inFlight = 0, false
+	t.orders, t.inFlight, t.unsure = 0, false, false
 	t.confirmed, t.stopped, t.voidAfter = time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.tail, t.slowed = 0, 0, 0
 	p.changed = true
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -66,12 +66,13 @@
 		return
 	}
 	t.inFlight = false
+	t.unsure = t.unsure || e.Call == Unknown
 	switch {
+	case t.state == running || t.state == done:
+		// A list of the runner has told more than this answer.
+	case t.state == stopping && (e.Call == Done || t.unsure):
+		p.orderStop(now, t, "no longer wanted")
 	case t.state == stopping:
-		if e.Call == Done || e.Call == Unknown {
-			p.orderStop(now, t, "no longer wanted")
-			return
-		}
 		p.freeTask(now, t)
 	case e.Call == Done:
 		t.state = running
@@ -80,9 +81,10 @@
 		r.holdNext = now
 	case e.Call == Unknown && t.orders < maxStartOrders && r.missing.IsZero():
 		p.order(now, t)
-	case e.Call == Unknown:
+	case t.unsure || e.Call == RefusedOld:
+		// An order of this run may have been carried out: it has to be ruled out
+		// before the task goes elsewhere.
 		t.state = stopping
-		t.orders = 0
 		p.orderStop(now, t, "start has no answer")
 	default:
 		p.refused(now, r, t, e.Call)
@@ -158,8 +160,8 @@
 
 // resolveOrders sends stops without an answer again.
 func (p *Pool) resolveOrders(now time.Time) {
-	for _, r := range p.runners {
-		for _, t := range r.tasks {
+	for _, r := range p.runnerOrder {
+		for _, t := range r.sortedTasks() {
 			if t.state != stopping || t.inFlight {
 				continue
 			}
@@ -172,7 +174,7 @@
 
 // loseTasks frees the tasks of a runner that surely no longer run.
 func (p *Pool) loseTasks(now time.Time, r *runnerState, reason string, lost func(*task) bool) {
-	for _, t := range r.tasks {
+	for _, t := range r.sortedTasks() {
 		if !lost(t) {
 			continue
 		}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -16,6 +16,8 @@
 package pool
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bronzestair/core/job"
@@ -98,6 +100,10 @@
 	loading bool
 	queues  map[job.QueueName]QueueSettings
 	jobs    map[job.ID]*jobState
+	// jobOrder and runnerOrder hold the jobs and runners in a fixed order, so that
+	// the same events have the same effects.
+	jobOrder    []*jobState
+	runnerOrder []*runnerState
 	// ended keeps the outcomes of jobs for as long as callers may ask.
 	ended   map[job.ID]job.Outcome
 	runners map[RunnerID]*runnerState
@@ -178,7 +184,7 @@
 	if p.options.Epoch <= 1 || now.Sub(p.since) > leaseBound(p.options.Lease) {
 		return true
 	}
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		if !r.resolved {
 			return false
 		}
@@ -201,3 +207,27 @@
 func leaseBound(lease time.Duration) time.Duration {
 	return time.Duration(float64(lease)/(1-clockDrift)) + clockSlack
 }
+
+// addJob and dropJob keep jobs and their order together.
+func (p *Pool) addJob(j *jobState) {
+	p.jobs[j.id()] = j
+	p.jobOrder = append(p.jobOrder, j)
+}
+
+func (p *Pool) dropJob(j *jobState) {
+	delete(p.jobs, j.id())
+	// Copied, as the jobs may be being ranged over.
+	p.jobOrder = slices.DeleteFunc(slices.Clone(p.jobOrder), func(o *jobState) bool { return o == j })
+}
+
+// addRunner and dropRunner keep runners and their order together.
+func (p *Pool) addRunner(r *runnerState) {
+	p.runners[r.ID] = r
+	at, _ := slices.BinarySearchFunc(p.runnerOrder, r.ID, func(o *runnerState, id RunnerID) int { return cmp.Compare(o.ID, id) })
+	p.runnerOrder = slices.Insert(slices.Clone(p.runnerOrder), at, r)
+}
+
+func (p *Pool) dropRunner(id RunnerID) {
+	delete(p.runners, id)
+	p.runnerOrder = slices.DeleteFunc(slices.Clone(p.runnerOrder), func(o *runnerState) bool { return o.ID == id })
+}
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -54,7 +54,7 @@
 	}
 	recovered := p.recovered(now)
 	var out []*jobState
-	for _, j := range p.jobs {
+	for _, j := range p.jobOrder {
 		if j.outcome != "" || (j.inherited && !recovered) || j.ready() == 0 {
 			continue
 		}
@@ -76,7 +76,7 @@
 func (p *Pool) plan(now time.Time) {
 	p.planned = now
 	var inTime []*jobState
-	for _, j := range p.jobs {
+	for _, j := range p.jobOrder {
 		if j.outcome != "" {
 			continue
 		}
@@ -90,7 +90,7 @@
 	if capacity == 0 {
 		return
 	}
-	ahead := 0.0
+	ahead := p.workRunning(now)
 	for _, j := range inTime {
 		work := j.workLeft()
 		wait := time.Duration(ahead / float64(capacity) * float64(time.Second))
@@ -102,10 +102,24 @@
 	}
 }
 
+// workRunning estimates the work that is left of the tasks on runners.
+func (p *Pool) workRunning(now time.Time) float64 {
+	work := 0.0
+	for _, r := range p.runnerOrder {
+		for _, t := range r.tasks {
+			spec := t.step.spec
+			if left := spec.EstimatedRuntime - now.Sub(t.ordered); left > 0 && !spec.Persistent && !spec.Fills {
+				work += float64(spec.CPU) * left.Seconds()
+			}
+		}
+	}
+	return work
+}
+
 // capacity returns the processor time of the runners that take tasks.
 func (p *Pool) capacity(now time.Time) job.Milli {
 	var sum job.Milli
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		if r.resolved && !r.Draining && !r.cordoned && r.missing.IsZero() && r.failedCalls == 0 && !now.Before(r.health.rejected) {
 			sum += r.Capacity.CPU
 		}
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -40,7 +40,7 @@
 // Report returns the pool's load.
 func (p *Pool) Report(now time.Time) Report {
 	report := Report{Pool: p.options.Pool, Recovered: p.recovered(now)}
-	for _, r := range p.runners {
+	for _, r := range p.runnerOrder {
 		line := RunnerReport{
 			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now), Known: r.resolved,
 		}
@@ -48,7 +48,7 @@
 		line.Persistent = len(r.tasks) - line.Passing
 		report.Runners = append(report.Runners, line)
 	}
-	for _, j := range p.jobs {
+	for _, j := range p.jobOrder {
 		if j.outcome == "" && p.rank(now, j).tier <= tierDeferred {
 			report.addJob(j)
 		}
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -103,6 +104,14 @@
 	}
 }
 
+// sortedTasks returns the tasks in a fixed order.
+func (r *runnerState) sortedTasks() []*task {
+	if len(r.tasks) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(r.tasks), func(a, b *task) int { return a.id.Compare(b.id) })
+}
+
 func (r *runnerState) free() job.Resources { return r.Capacity.Sub(r.used) }
 
 // usable reports whether new tasks may be placed on the runner.
@@ -176,7 +185,8 @@
 			p.updateRunner(now, listed)
 		}
 	}
-	for id, r := range p.runners {
+	for _, r := range p.runnerOrder {
+		id := r.ID
 		if present[id] || e.Stale {
 			continue
 		}
@@ -184,7 +194,7 @@
 			r.missing = now
 		}
 		if len(r.tasks) == 0 && len(r.strangers) == 0 && !r.holding && now.After(r.leaseEnds) {
-			delete(p.runners, id)
+			p.dropRunner(id)
 		}
 	}
 }
@@ -195,7 +205,7 @@
 	if r == nil {
 		r = newRunnerState(listed)
 		r.listed = now
-		p.runners[listed.ID] = r
+		p.addRunner(r)
 		return
 	}
 	r.Runner = listed
@@ -210,7 +220,7 @@
 	}
 	p.loseTasks(now, r, "runnerEnded", func(*task) bool { return true })
 	clear(r.strangers)
-	delete(p.runners, e.Runner)
+	p.dropRunner(e.Runner)
 }
 
 // apply implements Event. Only runners that do not answer are taken for gone:
@@ -219,7 +229,8 @@
 	if p.recovered(now) {
 		return
 	}
-	for id, r := range p.runners {
+	for _, r := range p.runnerOrder {
+		id := r.ID
 		if !e.Alive[id] && !r.resolved && r.failedCalls > 0 && r.listed.Before(e.Asked) {
 			p.emit(&Decided{Runner: id, What: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.Asked)})
 			(&RunnerEnded{Runner: id}).apply(p, now)
@@ -237,7 +248,8 @@
 
 // apply implements Event.
 func (e *Cordoned) apply(p *Pool, _ time.Time) {
-	for id, r := range p.runners {
+	for _, r := range p.runnerOrder {
+		id := r.ID
 		if r.cordoned != e.Runners[id] {
 			r.cordoned = e.Runners[id]
 			p.changed = true
@@ -248,12 +260,13 @@
 // apply implements Event.
 func (Ticked) apply(p *Pool, now time.Time) {
 	p.changed = true
-	for id, r := range p.runners {
+	for _, r := range p.runnerOrder {
+		id := r.ID
 		if len(r.tasks) > 0 && now.After(r.leaseEnds) {
 			p.loseTasks(now, r, "leaseExpired", func(*task) bool { return true })
 		}
 		if now.After(r.leaseEnds) && !r.missing.IsZero() && !r.holding {
-			delete(p.runners, id)
+			p.dropRunner(id)
 		}
 	}
 	p.resolveOrders(now)
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -11,7 +11,7 @@
 
 // saveJobs emits the writes that are due: outcomes at once, progress in batches.
 func (p *Pool) saveJobs(now time.Time) {
-	for _, j := range p.jobs {
+	for _, j := range p.jobOrder {
 		if j.saving || j.closed || j.seq == j.savedSeq || now.Before(j.retry) {
 			continue
 		}
@@ -86,7 +86,7 @@
 			return
 		}
 	}
-	delete(p.jobs, j.id())
+	p.dropJob(j)
 }
 
 // Expire forgets the outcomes that are older than the retention.
@@ -116,7 +116,7 @@
 // Waiting counts the jobs of a queue of which no task has started.
 func (p *Pool) Waiting(queue job.QueueName) int {
 	n := 0
-	for _, j := range p.jobs {
+	for _, j := range p.jobOrder {
 		if j.record.Queue == queue && !j.begun && j.outcome == "" {
 			n++
 		}
--- /dev/null
+++ b/core/pool/world_test.go
@@ -0,0 +1,436 @@
+package pool
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// world runs a Pool in virtual time against model runners and a model store. It
+// keeps its own record of what ran, and fails the test if a promise is broken.
+type world struct {
+	t       testing.TB
+	random  *rand.Rand
+	now     time.Time
+	agenda  agenda
+	pool    *Pool
+	epoch   int
+	runners []*modelRunner
+	stored  map[job.ID]*storedJob
+	version RowVersion
+	faults  faults
+	cores   job.Milli
+
+	ran      map[job.TaskID]int // runs that ended done
+	acked    map[job.TaskID]bool
+	finished map[job.ID]time.Time
+	handedIn map[job.ID]time.Time
+	failed   string
+}
+
+// faults are the shares of calls that go wrong.
+type faults struct {
+	lostBefore, lostAfter, late, storeRefused float64
+}
+
+type storedJob struct {
+	record          *job.Record
+	version         RowVersion
+	progress        *job.Progress
+	progressVersion RowVersion
+}
+
+// modelRunner does what a runner is told, under a lease and a fencing token.
+type modelRunner struct {
+	world   *world
+	id      RunnerID
+	dead    bool
+	born    time.Time
+	fence   Fence
+	lease   time.Time
+	running map[job.TaskID]*modelRun
+	barred  map[job.TaskID]int
+	ended   []EndedTask
+	number  int64
+}
+
+type modelRun struct {
+	run  int
+	step job.Step
+	ends time.Time
+}
+
+type entry struct {
+	at time.Time
+	n  int
+	do func()
+}
+
+type agenda struct {
+	entries []entry
+	n       int
+}
+
+func (a *agenda) Len() int { return len(a.entries) }
+func (a *agenda) Less(i, j int) bool {
+	if !a.entries[i].at.Equal(a.entries[j].at) {
+		return a.entries[i].at.Before(a.entries[j].at)
+	}
+	return a.entries[i].n < a.entries[j].n
+}
+func (a *agenda) Swap(i, j int) { a.entries[i], a.entries[j] = a.entries[j], a.entries[i] }
+func (a *agenda) Push(x any)    { a.entries = append(a.entries, x.(entry)) }
+func (a *agenda) Pop() any {
+	last := a.entries[len(a.entries)-1]
+	a.entries = a.entries[:len(a.entries)-1]
+	return last
+}
+
+func newWorld(t testing.TB, seed uint64, runners int, f faults) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), faults: f, cores: 8000,
+		stored: map[job.ID]*storedJob{}, ran: map[job.TaskID]int{}, acked: map[job.TaskID]bool{},
+		finished: map[job.ID]time.Time{}, handedIn: map[job.ID]time.Time{},
+	}
+	for i := range runners {
+		w.runners = append(w.runners, w.newRunner(i))
+	}
+	w.takeOver()
+	w.tick()
+	return w
+}
+
+func (w *world) newRunner(n int) *modelRunner {
+	return &modelRunner{
+		world: w, id: RunnerID(fmt.Sprintf("r%d", n)), born: w.now,
+		running: map[job.TaskID]*modelRun{}, barred: map[job.TaskID]int{},
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.agenda.n++
+	heap.Push(&w.agenda, entry{at: w.now.Add(d), n: w.agenda.n, do: do})
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for w.agenda.Len() > 0 && !w.agenda.entries[0].at.After(end) && w.failed == "" {
+		next := heap.Pop(&w.agenda).(entry)
+		w.now = next.at
+		for _, r := range w.runners {
+			r.advance()
+		}
+		next.do()
+	}
+	w.now = end
+	if w.failed != "" {
+		w.t.Fatal(w.failed)
+	}
+}
+
+func (w *world) tick() {
+	w.send(w.pool, Ticked{})
+	w.after(50*time.Millisecond, w.tick)
+}
+
+// takeOver replaces the owner by one that knows only what is stored.
+func (w *world) takeOver() {
+	w.epoch++
+	w.pool = New(Options{Pool: testPool, Fence: Fence(w.epoch), Epoch: w.epoch, Loading: true}, w.now)
+	w.send(w.pool, &QueuesChanged{Queues: map[job.QueueName]QueueSettings{testQueue: {MaxAttempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond}}})
+	present := map[job.ID]bool{}
+	for id := range w.stored {
+		present[id] = true
+	}
+	for _, id := range sortedIDs(present) {
+		s := w.stored[id]
+		w.send(w.pool, &JobStored{Record: s.record, Version: s.version, Progress: s.progress, ProgressVersion: s.progressVersion, Inherited: true})
+	}
+	w.listRunners()
+	w.send(w.pool, &JobsLoaded{Present: present, Version: w.version})
+}
+
+func sortedIDs(set map[job.ID]bool) []job.ID {
+	var out []job.ID
+	for n := range 10_000 {
+		if set[id(n)] {
+			out = append(out, id(n))
+		}
+	}
+	return out
+}
+
+func (w *world) listRunners() {
+	event := &RunnersListed{}
+	for _, r := range w.runners {
+		if !r.dead {
+			event.Runners = append(event.Runners, Runner{
+				ID: r.id, Capacity: job.Resources{CPU: w.cores, Memory: 65536}, Labels: []string{"a", "rack"},
+			})
+		}
+	}
+	w.send(w.pool, event)
+}
+
+// submit stores a job and hands it to the owner.
+func (w *world) submit(n int, spec job.Spec) {
+	w.version++
+	s := &storedJob{record: &job.Record{Pool: testPool, Queue: testQueue, ID: id(n), Spec: spec, Accepted: w.now}, version: w.version}
+	w.stored[id(n)] = s
+	w.handedIn[id(n)] = w.now
+	w.send(w.pool, &JobStored{Record: s.record, Version: s.version})
+}
+
+func (w *world) send(p *Pool, e Event) {
+	if p != w.pool {
+		return // a former owner's process is gone
+	}
+	effects := append([]Effect(nil), p.Reduce(w.now, e)...)
+	for _, effect := range effects {
+		w.perform(p, effect)
+	}
+}
+
+// deliver carries a call to a runner and its answer back, or loses either.
+func (w *world) deliver(r *modelRunner, do func() func(), lost func()) {
+	const oneWay = 2 * time.Millisecond
+	chance := w.random.Float64()
+	f := w.faults
+	switch {
+	case chance < f.lostBefore || r == nil:
+		w.after(500*time.Millisecond, lost)
+	case chance < f.lostBefore+f.lostAfter:
+		w.after(oneWay, func() { do() })
+		w.after(500*time.Millisecond, lost)
+	case chance < f.lostBefore+f.lostAfter+f.late:
+		w.after(time.Duration(2+10*w.random.Float64())*time.Second, func() { do() })
+		w.after(500*time.Millisecond, lost)
+	default:
+		w.after(oneWay, func() {
+			if r.dead {
+				w.after(500*time.Millisecond, lost)
+				return
+			}
+			answer := do()
+			w.after(oneWay, answer)
+		})
+	}
+}
+
+func (w *world) runner(id RunnerID) *modelRunner {
+	for _, r := range w.runners {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (w *world) perform(p *Pool, effect Effect) {
+	switch e := effect.(type) {
+	case *StartTask:
+		r := w.runner(e.Runner.ID)
+		w.deliver(r, func() func() {
+			call := r.start(e)
+			return func() {
+				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading()})
+			}
+		}, func() { w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run}) })
+	case *StopTask:
+		r := w.runner(e.Runner.ID)
+		w.deliver(r, func() func() {
+			call := r.stop(e)
+			return func() {
+				w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading()})
+			}
+		}, func() { w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run}) })
+	case *HoldRunner:
+		r := w.runner(e.Runner.ID)
+		sent := w.now
+		w.deliver(r, func() func() {
+			held := r.hold(e)
+			held.Sent = sent
+			return func() { w.send(p, held) }
+		}, func() { w.send(p, &RunnerHeld{Runner: e.Runner.ID, Sent: sent}) })
+	case *SaveJob:
+		w.save(p, e.ID, e.Version, e.ProgressVersion, e.Seq, func(s *storedJob) { s.progress, s.progressVersion = e.Progress, w.version })
+	case *FinishJob:
+		w.save(p, e.ID, e.Version, e.ProgressVersion, e.Seq, nil)
+		if e.Outcome.State != job.Completed {
+			w.failed = fmt.Sprintf("job %s ends as %s", e.ID, e.Outcome.State)
+		}
+	}
+}
+
+// save stores progress, or an outcome if apply is nil.
+func (w *world) save(p *Pool, id job.ID, version, progressVersion RowVersion, seq uint64, apply func(*storedJob)) {
+	w.after(5*time.Millisecond, func() {
+		s := w.stored[id]
+		if p != w.pool || w.random.Float64() < w.faults.storeRefused || s == nil ||
+			s.version != version || s.progressVersion != progressVersion {
+			w.send(p, &JobSaved{ID: id, Seq: seq, Failed: true})
+			return
+		}
+		w.version++
+		if apply == nil {
+			delete(w.stored, id)
+			w.finished[id] = w.now
+		} else {
+			apply(s)
+		}
+		w.send(p, &JobSaved{ID: id, Seq: seq, Version: w.version, Finished: apply == nil})
+	})
+}
+
+func (r *modelRunner) clock() RunnerClock { return RunnerClock(r.world.now.Sub(r.born)) + 1 }
+
+func (r *modelRunner) reading() ClockReading {
+	return ClockReading{Clock: r.clock(), At: r.world.now}
+}
+
+func (r *modelRunner) start(e *StartTask) Call {
+	if r.dead {
+		return Unknown
+	}
+	if e.Fence < r.fence {
+		return RefusedFence
+	}
+	r.fence = e.Fence
+	if e.Until <= r.clock() {
+		return RefusedLate
+	}
+	r.extend(e.Until)
+	if current := r.running[e.Task]; current != nil && current.run == e.Run {
+		return Done
+	}
+	if e.Run <= r.barred[e.Task] {
+		return RefusedOld
+	}
+	step := r.world.step(e.Task)
+	r.world.checkStart(e, r, step)
+	r.running[e.Task] = &modelRun{run: e.Run, step: step, ends: r.world.now.Add(step.EstimatedRuntime)}
+	return Done
+}
+
+func (r *modelRunner) extend(until RunnerClock) {
+	if lease := r.born.Add(time.Duration(until)); lease.After(r.lease) {
+		r.lease = lease
+	}
+}
+
+func (r *modelRunner) stop(e *StopTask) Call {
+	if r.dead {
+		return Unknown
+	}
+	if e.Fence < r.fence {
+		return RefusedFence
+	}
+	r.fence = e.Fence
+	r.barred[e.Task] = max(r.barred[e.Task], e.Run)
+	if current := r.running[e.Task]; current != nil && current.run <= e.Run {
+		r.end(e.Task, EndStopped)
+	}
+	return Done
+}
+
+func (r *modelRunner) hold(e *HoldRunner) *RunnerHeld {
+	held := &RunnerHeld{Runner: r.id, Call: Done, Clock: r.reading(), Born: r.born}
+	if r.dead {
+		held.Call = Unknown
+		return held
+	}
+	if e.Fence < r.fence {
+		held.Call = RefusedFence
+		return held
+	}
+	r.fence = e.Fence
+	if e.Until > 0 {
+		r.extend(e.Until)
+	}
+	for len(r.ended) > 0 && r.ended[0].Number <= e.Acknowledged {
+		if r.ended[0].How == EndDone {
+			r.world.acked[r.ended[0].Task] = true
+		}
+		r.ended = r.ended[1:]
+	}
+	for _, task := range r.sorted() {
+		run := r.running[task]
+		held.Running = append(held.Running, RunningTask{Task: task, Run: run.run, Percent: int(time.Duration(r.world.now.UnixNano()) / time.Millisecond % 100)})
+	}
+	held.Ended = append(held.Ended, r.ended...)
+	return held
+}
+
+func (r *modelRunner) end(task job.TaskID, how End) {
+	run := r.running[task]
+	delete(r.running, task)
+	r.barred[task] = max(r.barred[task], run.run)
+	r.number++
+	r.ended = append(r.ended, EndedTask{Number: r.number, Task: task, Run: run.run, How: how})
+	if how == EndDone {
+		r.world.ran[task]++
+	}
+}
+
+// advance ends the runs whose time has come, and all if the lease is over.
+func (r *modelRunner) advance() {
+	if r.dead {
+		return
+	}
+	for _, task := range r.sorted() {
+		run := r.running[task]
+		switch {
+		case r.world.now.After(r.lease):
+			r.end(task, EndLapsed)
+		case !run.ends.After(r.world.now):
+			r.end(task, EndDone)
+		}
+	}
+}
+
+func (r *modelRunner) sorted() []job.TaskID {
+	return slices.SortedFunc(maps.Keys(r.running), job.TaskID.Compare)
+}
+
+func (w *world) step(task job.TaskID) job.Step {
+	s := w.stored[task.Job]
+	if s == nil {
+		w.failed = fmt.Sprintf("task %v of a finished job is started", task)
+		return job.Step{}
+	}
+	return s.record.Spec.Steps[task.Step]
+}
+
+// checkStart holds a start against the record of the world.
+func (w *world) checkStart(e *StartTask, r *modelRunner, step job.Step) {
+	used := step.Demand()
+	for _, run := range r.running {
+		used = used.Add(run.step.Demand())
+	}
+	if used.CPU > w.cores {
+		w.failed = fmt.Sprintf("%s gets %d of %d", r.id, used.CPU, w.cores)
+	}
+	if w.acked[e.Task] {
+		w.failed = fmt.Sprintf("%v is started after its end was acknowledged", e.Task)
+	}
+	for _, other := range w.runners {
+		if !other.dead && other != r && other.running[e.Task] != nil {
+			w.failed = fmt.Sprintf("%v runs on %s and is started on %s", e.Task, other.id, r.id)
+		}
+	}
+	for _, before := range step.After {
+		spec := w.stored[e.Task.Job].record.Spec.Steps[before]
+		for i := range spec.Count {
+			if w.ran[job.TaskID{Job: e.Task.Job, Step: before, Index: i}] == 0 {
+				w.failed = fmt.Sprintf("%v is started before step %d is done", e.Task, before)
+			}
+		}
+	}
+}
