Look the outcome up when a job's row is gone

Change: a removed row is looked up; a job with neither row nor outcome is an error in the log, never a cancellation. One line of the log a step for placements. Figures: TestRemovedRowIsLookedUp: cancelled at once before, completed after. Conclusion: the state follows the store alone.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"bronzestair/core/job"
@@ -59,6 +61,8 @@
 	if !p.admitsStep(now, j, step) {
 		return
 	}
+	var placed placements
+	defer func() { placed.decide(p, now, j, step) }()
 	for i := range step.tasks {
 		t := &step.tasks[i]
 		if t.state != ready {
@@ -72,6 +76,35 @@
 			return
 		}
 		p.start(now, t, r, t.nextRun())
+		placed.add(now, t, r)
+	}
+}
+
+// placements collects what one dispatch places of a step, for one line of the log.
+type placements struct {
+	text    strings.Builder
+	dataAge time.Duration
+}
+
+func (l *placements) add(now time.Time, t *task, r *runnerState) {
+	if l.text.Len() > 0 {
+		l.text.WriteByte(' ')
+	}
+	l.text.WriteString(strconv.Itoa(t.id.Index))
+	l.text.WriteByte('.')
+	l.text.WriteString(strconv.Itoa(t.run))
+	l.text.WriteByte('@')
+	l.text.WriteString(string(r.ID))
+	l.dataAge = max(l.dataAge, now.Sub(r.answered))
+}
+
+// decide emits the line. It names each task by index and run number.
+func (l *placements) decide(p *Pool, now time.Time, j *jobState, step *stepState) {
+	if l.text.Len() > 0 {
+		p.emit(&Decided{
+			Job: j.id(), Step: step.tasks[0].id.StepKey(), What: "tasksPlaced",
+			Reason: l.text.String(), DataAge: l.dataAge,
+		})
 	}
 }
 
@@ -97,7 +130,6 @@
 	t.run = run
 	t.moved = now
 	r.assign(t)
-	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: run, What: "taskPlaced", Reason: "room", DataAge: now.Sub(r.answered)})
 	p.order(now, t)
 }
 
--- a/core/pool/effect.go
+++ b/core/pool/effect.go
@@ -72,6 +72,13 @@
 	Seq             uint64
 }
 
+// LookUpOutcome reads the outcome of a job whose row is gone. It is answered by
+// JobEnded.
+type LookUpOutcome struct {
+	Queue job.QueueName
+	ID    job.ID
+}
+
 // AskAdvice asks which runners may run a step. It is answered by Advised.
 type AskAdvice struct {
 	Step    string
@@ -85,8 +92,10 @@
 
 // Decided is a decision to be logged.
 type Decided struct {
-	Job     job.ID
-	Task    job.TaskID
+	Job  job.ID
+	Task job.TaskID
+	// Step is set for a decision on several tasks of a step.
+	Step    string
 	Runner  RunnerID
 	Run     int
 	What    string
@@ -94,12 +103,13 @@
 	DataAge time.Duration
 }
 
-func (*StartTask) isEffect()  {}
-func (*StopTask) isEffect()   {}
-func (*HoldRunner) isEffect() {}
-func (*PaceTask) isEffect()   {}
-func (*SaveJob) isEffect()    {}
-func (*FinishJob) isEffect()  {}
-func (*AskAdvice) isEffect()  {}
-func (*StepDown) isEffect()   {}
-func (*Decided) isEffect()    {}
+func (*StartTask) isEffect()     {}
+func (*StopTask) isEffect()      {}
+func (*HoldRunner) isEffect()    {}
+func (*PaceTask) isEffect()      {}
+func (*SaveJob) isEffect()       {}
+func (*FinishJob) isEffect()     {}
+func (*AskAdvice) isEffect()     {}
+func (*LookUpOutcome) isEffect() {}
+func (*StepDown) isEffect()      {}
+func (*Decided) isEffect()       {}
--- a/core/pool/gang.go
+++ b/core/pool/gang.go
@@ -26,10 +26,14 @@
 			saved = step.tasks[i].saved
 		}
 	}
+	var lines placements
 	for i := range step.tasks {
-		step.tasks[i].saved = saved
-		p.start(now, &step.tasks[i], placed[i], run)
+		t := &step.tasks[i]
+		t.saved = saved
+		p.start(now, t, placed[i], run)
+		lines.add(now, t, placed[i])
 	}
+	lines.decide(p, now, step.tasks[0].job, step)
 }
 
 // fitGang returns a runner for each member, on one rack if the step wants that
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -105,6 +105,8 @@
 	// closed jobs have a stored outcome; only their running tasks are left.
 	closed bool
 	retry  time.Time
+	// lookedUp is when the outcome was last asked for.
+	lookedUp time.Time
 }
 
 func (j *jobState) id() job.ID { return j.record.ID }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -325,3 +325,21 @@
 		t.Errorf("starts = %v, want one on the other runner", starts(effects))
 	}
 }
+
+// TestRemovedRowIsLookedUp replays the outcome that a former owner stored after
+// its successor had read the job.
+func TestRemovedRowIsLookedUp(t *testing.T) {
+	for _, outcome := range []job.State{job.Completed, job.Cancelled} {
+		r := newRig(t, Options{Epoch: 2})
+		r.store(id(1), true, oneTask())
+		effects := r.send(&JobRemoved{ID: id(1)})
+		if got := of[*LookUpOutcome](effects); len(got) != 1 {
+			t.Fatalf("look-ups = %v, want one", got)
+		}
+		state, _ := r.pool.State(id(1))
+		want(t, "state before", state, job.Queued)
+		r.send(&JobEnded{ID: id(1), Outcome: job.Outcome{State: outcome, At: r.now}})
+		state, _ = r.pool.State(id(1))
+		want(t, "state after", state, outcome)
+	}
+}
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -129,14 +129,15 @@
 	ID job.ID
 }
 
-// apply implements Event. The row of a job that has no outcome here was removed
-// by a cancellation.
+// apply implements Event. A cancellation, or a write of a former owner, has put
+// an outcome in the row's place.
 func (e *JobRemoved) apply(p *Pool, now time.Time) {
 	j := p.jobs[e.ID]
-	if j == nil || j.outcome != "" {
+	if j == nil || j.outcome != "" || now.Sub(j.lookedUp) < saveRetry {
 		return
 	}
-	(&JobEnded{ID: e.ID, Outcome: job.Outcome{State: job.Cancelled, At: now}}).apply(p, now)
+	j.lookedUp = now
+	p.emit(&LookUpOutcome{Queue: j.record.Queue, ID: e.ID})
 }
 
 // OwnerChanged says that another owner has written a job's progress.
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -167,6 +167,8 @@
 		}()
 	case *pool.SaveJob, *pool.FinishJob:
 		o.writer.add(ctx, e)
+	case *pool.LookUpOutcome:
+		go o.lookUp(ctx, e)
 	case *pool.AskAdvice:
 		go func() {
 			answer, err := o.m.runners.Advise(ctx, o.m.options.Advice, e)
@@ -183,6 +185,24 @@
 	}
 }
 
+// lookUp reads the outcome of a job that was ended by another process.
+func (o *poolOwner) lookUp(ctx context.Context, e *pool.LookUpOutcome) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		outcome, found, err := readOutcome(ctx, o.m.store, e.Queue, e.ID)
+		switch {
+		case err == nil && found:
+			o.submit(&pool.JobEnded{ID: e.ID, Outcome: outcome})
+			return
+		case err == nil:
+			o.m.logger.Error("job has neither row nor outcome", "job", e.ID)
+			return
+		}
+		o.m.logger.Warn("outcome is not read", "job", e.ID, "error", err)
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
 func (o *poolOwner) start(ctx context.Context, e *pool.StartTask) {
 	if !o.m.valid(o.shard) {
 		o.submit(&pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: pool.RefusedUnhealthy})
@@ -226,6 +246,9 @@
 	if e.Task.Job != "" {
 		attributes = append(attributes, "task", e.Task.String(), "run", e.Run, "runner", e.Runner)
 	}
+	if e.Step != "" {
+		attributes = append(attributes, "step", e.Step)
+	}
 	if e.DataAge > 0 {
 		attributes = append(attributes, "dataAge", e.DataAge)
 	}
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
@@ -311,7 +310,7 @@
 		w.failed([]*write{next}, err)
 	case !found:
 		w.logger.Error("job has neither row nor outcome", "job", next.id)
-		w.sink.submit(&pool.JobEnded{ID: next.id, Outcome: job.Outcome{State: job.Cancelled, At: time.Now()}})
+		w.failed([]*write{next}, nil)
 	default:
 		w.sink.submit(&pool.JobEnded{ID: next.id, Outcome: outcome})
 	}
