Send starts elsewhere at once that never left

Cause: an order that could not be sent at all waited for a second try and a stop. Ruled out: nothing. Change: such an order has a result of its own; a refusal of the pool's owner has a reason in the entry's log. Conclusion: an instance that is down costs its tasks no second.

--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -86,6 +86,8 @@
 const (
 	Unknown Call = iota
 	Done
+	// NotSent means that the runner could not be reached at all.
+	NotSent
 	// RefusedFence means that another owner has a higher fencing token.
 	RefusedFence
 	// RefusedOld means that the run number is not higher than an earlier one.
@@ -105,7 +107,7 @@
 )
 
 var callNames = [...]string{
-	"unknown", "done", "refusedFence", "refusedOld", "refusedLate", "refusedRoom",
+	"unknown", "done", "notSent", "refusedFence", "refusedOld", "refusedLate", "refusedRoom",
 	"refusedTicket", "refusedUnhealthy", "refusedOther", "refusedBad",
 }
 
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -95,7 +95,7 @@
 func (p *Pool) refused(now time.Time, r *runnerState, t *task, call Call) {
 	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "startRefused", Reason: call.String(), DataAge: now.Sub(t.ordered)})
 	switch call {
-	case RefusedUnhealthy, RefusedBad:
+	case RefusedUnhealthy, RefusedBad, NotSent:
 		r.avoidUntil = now.Add(unhealthyPause)
 	case RefusedRoom, RefusedLate, RefusedOther:
 		r.avoidUntil = now.Add(unhealthyPause / 4)
@@ -130,7 +130,7 @@
 
 // noteCall updates what is known of a runner from the answer to any call.
 func (p *Pool) noteCall(now time.Time, r *runnerState, call Call, clock ClockReading) {
-	if call == Unknown {
+	if call == Unknown || call == NotSent {
 		r.failedCalls++
 		return
 	}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -343,3 +343,17 @@
 		want(t, "state after", state, outcome)
 	}
 }
+
+// TestUnreachableRunnerLosesNoTime replays a start to an instance that is down:
+// the order surely had no effect.
+func TestUnreachableRunnerLosesNoTime(t *testing.T) {
+	r := newRig(t, Options{})
+	r.runners("r1", "r2")
+	r.held("r1", nil, nil)
+	r.held("r2", nil, nil)
+	first := of[*StartTask](r.store(id(1), false, oneTask()))[0]
+	again := of[*StartTask](r.send(&TaskStarted{Runner: first.Runner.ID, Task: first.Task, Run: first.Run, Call: NotSent}))
+	if len(again) != 1 || again[0].Runner.ID == first.Runner.ID {
+		t.Errorf("starts = %v, want one on the other runner", again)
+	}
+}
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -43,8 +43,11 @@
 		return NotStored, err
 	}
 	result, err := m.submitToOwner(ctx, record, value)
-	if err == nil {
-		return result, nil
+	switch {
+	case err == nil && result == Stored:
+		return Stored, nil
+	case err == nil:
+		return result, errRefusedByOwner
 	}
 	if result == MayBeStored && ctx.Err() != nil {
 		return result, err
--- a/manager/meter.go
+++ b/manager/meter.go
@@ -13,6 +13,8 @@
 	errNoOwner  = errors.New("the pool has no owner for now")
 	errNotSent  = errors.New("the write was not sent in time")
 	errNoAnswer = errors.New("the write has no answer in time")
+	// errRefusedByOwner stands for a reason that the owner has logged.
+	errRefusedByOwner = errors.New("the pool's owner could not store the job")
 )
 
 // Meter counts what the manager does.
