--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -122,17 +122,22 @@
 	a.seen = append(a.seen, arrival{at: now, work: work})
 }
 
-// rate returns the work per time over the window.
+// rate returns the work per time over the window, or over its latter half if that
+// is more: a turn that rises is to be met as it will be.
 func (a *arrivals) rate(now time.Time) job.Milli {
 	n := 0
-	sum := 0.0
+	all, latter := 0.0, 0.0
 	for _, s := range a.seen {
-		if now.Sub(s.at) > arrivalWindow {
+		age := now.Sub(s.at)
+		if age > arrivalWindow {
 			n++
 			continue
 		}
-		sum += s.work
+		all += s.work
+		if age <= arrivalWindow/2 {
+			latter += s.work
+		}
 	}
 	a.seen = a.seen[n:]
-	return job.Milli(sum / arrivalWindow.Seconds())
+	return job.Milli(max(all, 2*latter) / arrivalWindow.Seconds())
 }
