Drop settings that nothing reads

Cause: found by reading the whole change as a newcomer. Ruled out: a change of behaviour. Change: unused options and bounds are gone; a comment says what one reserve instance is for.

--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -29,7 +29,7 @@
 	// spareInstances are kept beyond what is asked for.
 	spareInstances = 1
 	// spreadReserve is kept beside the instances over which a step is spread: one
-	// may be in upkeep and another lost.
+	// may be in upkeep or lost.
 	spreadReserve = 1
 	// demandMemory is how long a demand counts after it was seen.
 	demandMemory = 1 * time.Second
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -44,10 +44,6 @@
 	Lease time.Duration
 	// StartWindow is how long a start order is valid.
 	StartWindow time.Duration
-	// StopTime is the longest that a runner takes to stop a task.
-	StopTime time.Duration
-	// PaceTime is how soon a change of pace takes effect.
-	PaceTime time.Duration
 }
 
 // Defaults of the options.
@@ -56,17 +52,11 @@
 	DefaultLease = 5 * time.Second
 	// DefaultStartWindow bounds how long a lost start order blocks its task.
 	DefaultStartWindow = 2 * time.Second
-	// DefaultStopTime is the longest of the known platforms.
-	DefaultStopTime = 1 * time.Second
-	// DefaultPaceTime is that of the known platforms.
-	DefaultPaceTime = 100 * time.Millisecond
 )
 
 func (o *Options) setDefaults() {
 	setDefault(&o.Lease, DefaultLease)
 	setDefault(&o.StartWindow, DefaultStartWindow)
-	setDefault(&o.StopTime, DefaultStopTime)
-	setDefault(&o.PaceTime, DefaultPaceTime)
 	o.StartWindow = min(o.StartWindow, o.Lease)
 }
 
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -77,9 +77,8 @@
 	// Retention is how long the outcome of a job is kept.
 	Retention time.Duration
 	// LeaseMax is the longest lease that runners take; 0 is no bound.
-	LeaseMax    time.Duration
-	StopTime    time.Duration
-	PaceTime    time.Duration
+	LeaseMax time.Duration
+	// HolderPause separates the orders of two owners for one instance.
 	HolderPause time.Duration
 	Logger      *slog.Logger
 	Meter       Meter
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -118,7 +118,7 @@
 	}
 	return pool.Options{
 		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
-		Lease: lease, StopTime: o.m.options.StopTime, PaceTime: o.m.options.PaceTime,
+		Lease: lease,
 	}
 }
 
