Read stored progress only after all runners know the new owner

Ruled out: lost rows (the former owner's write was there, later). Change: a new owner loads the jobs once every runner has seen its fencing token, or all leases of its predecessor have ended. Conclusion: what is stored later is still listed by the runners.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -78,6 +78,7 @@
 	if !e.Born.IsZero() && !e.Born.Equal(r.born) {
 		p.reborn(now, r, e)
 	}
+	r.fenced = true
 	r.resolved = p.handleEnds(now, r, e.Ended)
 	listed := p.handleRunning(now, r, e)
 	p.handleAbsent(now, r, e, listed)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -182,6 +182,24 @@
 	return len(p.unheard) == 0
 }
 
+// Fenced reports whether no former owner can acknowledge an end any more. Stored
+// progress is complete only if it is read after that: what is stored later is
+// still listed by the runner.
+func (p *Pool) Fenced(now time.Time) bool {
+	if p.options.Epoch <= 1 || now.Sub(p.since) > leaseBound(p.options.Lease) {
+		return true
+	}
+	if !p.listed {
+		return false
+	}
+	for _, r := range p.runnerOrder {
+		if !r.fenced {
+			return false
+		}
+	}
+	return true
+}
+
 // Recovered reports whether tasks of inherited jobs may be started.
 func (p *Pool) Recovered(now time.Time) bool { return p.recovered(now) }
 
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -56,8 +56,11 @@
 	Runner
 	// resolved is true once the runner has answered to this owner's fencing token.
 	resolved bool
-	born     time.Time
-	clock    ClockReading
+	// fenced is true once the runner has seen this owner's token, so that a former
+	// owner cannot acknowledge ends there any more.
+	fenced bool
+	born   time.Time
+	clock  ClockReading
 	// leaseEnds is when everything that runs there has surely ended.
 	leaseEnds time.Time
 	tasks     map[job.TaskID]*task
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -15,17 +15,20 @@
 // world runs a Pool in virtual time against model runners and a model store. It
 // keeps its own record of what ran, and fails the test if a promise is broken.
 type world struct {
-	t       testing.TB
-	random  *rand.Rand
-	now     time.Time
-	agenda  agenda
-	pool    *Pool
-	epoch   int
-	runners []*modelRunner
-	stored  map[job.ID]*storedJob
-	version RowVersion
-	faults  faults
-	cores   job.Milli
+	t      testing.TB
+	random *rand.Rand
+	now    time.Time
+	agenda agenda
+	pool   *Pool
+	epoch  int
+	// former is the owner before, which goes on until formerUntil.
+	former      *Pool
+	formerUntil time.Time
+	runners     []*modelRunner
+	stored      map[job.ID]*storedJob
+	version     RowVersion
+	faults      faults
+	cores       job.Milli
 
 	ran      map[job.TaskID]int // runs that ended done
 	acked    map[job.TaskID]bool
@@ -137,14 +140,32 @@
 
 func (w *world) tick() {
 	w.send(w.pool, Ticked{})
+	if w.former != nil {
+		w.send(w.former, Ticked{})
+	}
 	w.after(50*time.Millisecond, w.tick)
 }
 
-// takeOver replaces the owner by one that knows only what is stored.
+// takeOver replaces the owner by one that knows only what is stored. The former
+// owner goes on for a while, as one that does not know yet.
 func (w *world) takeOver() {
 	w.epoch++
+	w.former, w.formerUntil = w.pool, w.now.Add(800*time.Millisecond)
 	w.pool = New(Options{Pool: testPool, Fence: Fence(w.epoch), Epoch: w.epoch, Loading: true}, w.now)
 	w.send(w.pool, &QueuesChanged{Queues: map[job.QueueName]QueueSettings{testQueue: {MaxAttempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond}}})
+	w.listRunners()
+	w.load(w.pool)
+}
+
+// load hands the stored jobs over once no former owner can acknowledge ends.
+func (w *world) load(p *Pool) {
+	if p != w.pool {
+		return
+	}
+	if !p.Fenced(w.now) {
+		w.after(10*time.Millisecond, func() { w.load(p) })
+		return
+	}
 	present := map[job.ID]bool{}
 	for id := range w.stored {
 		present[id] = true
@@ -153,7 +174,6 @@
 		s := w.stored[id]
 		w.send(w.pool, &JobStored{Record: s.record, Version: s.version, Progress: s.progress, ProgressVersion: s.progressVersion, Inherited: true})
 	}
-	w.listRunners()
 	w.send(w.pool, &JobsLoaded{Present: present, Version: w.version})
 }
 
@@ -189,7 +209,7 @@
 }
 
 func (w *world) send(p *Pool, e Event) {
-	if p != w.pool {
+	if p != w.pool && (p != w.former || w.now.After(w.formerUntil)) {
 		return // a former owner's process is gone
 	}
 	effects := append([]Effect(nil), p.Reduce(w.now, e)...)
@@ -259,6 +279,10 @@
 			held.Sent = sent
 			return func() { w.send(p, held) }
 		}, func() { w.send(p, &RunnerHeld{Runner: e.Runner.ID, Sent: sent}) })
+	case *StepDown:
+		if p == w.pool {
+			w.after(300*time.Millisecond, w.takeOver)
+		}
 	case *SaveJob:
 		w.save(p, e.ID, e.Version, e.ProgressVersion, e.Seq, func(s *storedJob) { s.progress, s.progressVersion = e.Progress, w.version })
 	case *FinishJob:
@@ -273,10 +297,16 @@
 func (w *world) save(p *Pool, id job.ID, version, progressVersion RowVersion, seq uint64, apply func(*storedJob)) {
 	w.after(5*time.Millisecond, func() {
 		s := w.stored[id]
-		if p != w.pool || w.random.Float64() < w.faults.storeRefused || s == nil ||
-			s.version != version || s.progressVersion != progressVersion {
+		switch {
+		case w.random.Float64() < w.faults.storeRefused:
 			w.send(p, &JobSaved{ID: id, Seq: seq, Failed: true})
 			return
+		case s == nil:
+			w.send(p, &JobEnded{ID: id, Outcome: job.Outcome{State: job.Completed, At: w.now}})
+			return
+		case s.version != version || s.progressVersion != progressVersion:
+			w.send(p, &OwnerChanged{ID: id})
+			return
 		}
 		w.version++
 		if apply == nil {
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -21,6 +21,8 @@
 	// livesInterval is how often a new owner that has not heard all runners asks
 	// which lives are over.
 	livesInterval = 250 * time.Millisecond
+	// fencePoll is how often a new owner looks whether all runners have answered.
+	fencePoll = 10 * time.Millisecond
 	// jobFeedPause collects changes of jobs between two reads of the feed.
 	jobFeedPause = 300 * time.Millisecond
 	// expireInterval is how often old outcomes are dropped from memory.
@@ -281,6 +283,7 @@
 
 // load hands over all stored jobs, and then the changes.
 func (o *poolOwner) load(ctx context.Context) {
+	o.awaitFence(ctx)
 	pause := newBackoff()
 	for ctx.Err() == nil {
 		present, version, err := o.loadJobs(ctx)
@@ -295,6 +298,18 @@
 	}
 }
 
+// awaitFence waits until no former owner can acknowledge ends.
+func (o *poolOwner) awaitFence(ctx context.Context) {
+	for fenced := false; !fenced && ctx.Err() == nil; {
+		if !o.ask(ctx, func(_ context.Context, p *pool.Pool) { fenced = p.Fenced(time.Now()) }) {
+			return
+		}
+		if !fenced {
+			sleep(ctx, fencePoll)
+		}
+	}
+}
+
 // loadJobs hands over the stored jobs of the pool. It returns the names of all
 // stored jobs and a version before which nothing was missed.
 func (o *poolOwner) loadJobs(ctx context.Context) (map[job.ID]bool, table.Version, error) {
