--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -3,9 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -49,26 +47,6 @@
 	progressVersion RowVersion
 }
 
-// modelRunner does what a runner is told, under a lease and a fencing token.
-type modelRunner struct {
-	world   *world
-	id      RunnerID
-	dead    bool
-	born    time.Time
-	fence   Fence
-	lease   time.Time
-	running map[job.TaskID]*modelRun
-	barred  map[job.TaskID]int
-	ended   []EndedTask
-	number  int64
-}
-
-type modelRun struct {
-	run  int
-	step job.Step
-	ends time.Time
-}
-
 type entry struct {
 	at time.Time
 	n  int
@@ -319,116 +297,6 @@
 	})
 }
 
-func (r *modelRunner) clock() RunnerClock { return RunnerClock(r.world.now.Sub(r.born)) + 1 }
-
-func (r *modelRunner) reading() ClockReading {
-	return ClockReading{Clock: r.clock(), At: r.world.now}
-}
-
-func (r *modelRunner) start(e *StartTask) Call {
-	if r.dead {
-		return Unknown
-	}
-	if e.Fence < r.fence {
-		return RefusedFence
-	}
-	r.fence = e.Fence
-	if e.Until <= r.clock() {
-		return RefusedLate
-	}
-	r.extend(e.Until)
-	if current := r.running[e.Task]; current != nil && current.run == e.Run {
-		return Done
-	}
-	if e.Run <= r.barred[e.Task] {
-		return RefusedOld
-	}
-	step := r.world.step(e.Task)
-	r.world.checkStart(e, r, step)
-	r.running[e.Task] = &modelRun{run: e.Run, step: step, ends: r.world.now.Add(step.EstimatedRuntime)}
-	return Done
-}
-
-func (r *modelRunner) extend(until RunnerClock) {
-	if lease := r.born.Add(time.Duration(until)); lease.After(r.lease) {
-		r.lease = lease
-	}
-}
-
-func (r *modelRunner) stop(e *StopTask) Call {
-	if r.dead {
-		return Unknown
-	}
-	if e.Fence < r.fence {
-		return RefusedFence
-	}
-	r.fence = e.Fence
-	r.barred[e.Task] = max(r.barred[e.Task], e.Run)
-	if current := r.running[e.Task]; current != nil && current.run <= e.Run {
-		r.end(e.Task, EndStopped)
-	}
-	return Done
-}
-
-func (r *modelRunner) hold(e *HoldRunner) *RunnerHeld {
-	held := &RunnerHeld{Runner: r.id, Call: Done, Clock: r.reading(), Born: r.born}
-	if r.dead {
-		held.Call = Unknown
-		return held
-	}
-	if e.Fence < r.fence {
-		held.Call = RefusedFence
-		return held
-	}
-	r.fence = e.Fence
-	if e.Until > 0 {
-		r.extend(e.Until)
-	}
-	for len(r.ended) > 0 && r.ended[0].Number <= e.Acknowledged {
-		if r.ended[0].How == EndDone {
-			r.world.acked[r.ended[0].Task] = true
-		}
-		r.ended = r.ended[1:]
-	}
-	for _, task := range r.sorted() {
-		run := r.running[task]
-		held.Running = append(held.Running, RunningTask{Task: task, Run: run.run, Percent: int(time.Duration(r.world.now.UnixNano()) / time.Millisecond % 100)})
-	}
-	held.Ended = append(held.Ended, r.ended...)
-	return held
-}
-
-func (r *modelRunner) end(task job.TaskID, how End) {
-	run := r.running[task]
-	delete(r.running, task)
-	r.barred[task] = max(r.barred[task], run.run)
-	r.number++
-	r.ended = append(r.ended, EndedTask{Number: r.number, Task: task, Run: run.run, How: how})
-	if how == EndDone {
-		r.world.ran[task]++
-	}
-}
-
-// advance ends the runs whose time has come, and all if the lease is over.
-func (r *modelRunner) advance() {
-	if r.dead {
-		return
-	}
-	for _, task := range r.sorted() {
-		run := r.running[task]
-		switch {
-		case r.world.now.After(r.lease):
-			r.end(task, EndLapsed)
-		case !run.ends.After(r.world.now):
-			r.end(task, EndDone)
-		}
-	}
-}
-
-func (r *modelRunner) sorted() []job.TaskID {
-	return slices.SortedFunc(maps.Keys(r.running), job.TaskID.Compare)
-}
-
 func (w *world) step(task job.TaskID) job.Step {
 	s := w.stored[task.Job]
 	if s == nil {
