Keep the platform's variable in platform/

Cause: the usage line of bronzestair-entry and the README used the platform's word; a comment still told of one transaction for all claims. Found by reading. Conclusion: none.

--- a/cmd/bronzestair-entry/main.go
+++ b/cmd/bronzestair-entry/main.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	BRONZESTAIR_NODE_FILE=settings.json bronzestair-entry
+//	bronzestair-entry # the environment names its settings file, see platform/README.md
 //
 // It ends gracefully on SIGTERM: readiness goes off, its pools pass to other
 // entries, and no request in flight is cut off.
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -152,7 +152,7 @@
 	return shards
 }
 
-// writeClaims renews all claims with one transaction and takes shards over one by one.
+// writeClaims renews all claims side by side and takes shards over one by one.
 func (m *Manager) writeClaims(ctx context.Context) {
 	shards := m.shards()
 	m.mu.Lock()
