Let the owner of a large pool keep up with a turn

Ruled out: the store (1.2 % of its calls), the limit on moves (64 a second). Change: tasks of a runner are kept in order, the rank of jobs is kept between plans, a step that fits nowhere is told from the widest room, waiting events are reduced together, asking for ends has a rate by processor time, entries with less than 0.4 cores are kept back from shards, and idle pools are filled by the size of the fleet. TestSilentRunnerLosesItsTasks waits for the call that extends the lease, as it is no longer made in the same instant as the start; its bounds are the same. Conclusion: seat and lodge holds still come late in the first seconds of a turn.

--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -13,12 +13,14 @@
 // Moves between pools. They answer demand that comes by turns: one queue asks
 // for more than its pool holds while the others' pools idle.
 const (
-	// keepInstances stay in a pool that asks for less, so that its next turn
-	// does not begin with nothing.
+	// keepInstances, or one in keepShare of the fleet if that is more, stay in a pool
+	// that asks for less, so that its next turn does not begin with nothing.
 	keepInstances = 4
-	// baseInstances are what idle pools are filled up to: any may be the next to
-	// have its turn.
+	keepShare     = 12
+	// baseInstances, or one in baseShare, are what idle pools are filled up to: any
+	// may be the next to have its turn.
 	baseInstances = 8
+	baseShare     = 6
 	// headroom is asked for beyond the work that arrives, as estimates are rough.
 	headroom = 1.3
 	// backlogTime is within how long waiting work is to begin.
@@ -35,6 +37,9 @@
 	demandMemory = 1 * time.Second
 )
 
+// base returns how many instances idle pools are filled up to.
+func (p *Planner) base() int { return max(baseInstances, len(p.instances)/baseShare) }
+
 // balance is what a pool needs and has, in instances.
 type balance struct {
 	name       job.PoolName
@@ -80,7 +85,7 @@
 		return
 	}
 	for _, b := range balances {
-		limit := max(b.need, baseInstances)
+		limit := max(b.need, p.base())
 		if b.have <= limit {
 			delete(p.idleSince, b.name)
 			continue
@@ -103,7 +108,7 @@
 func (p *Planner) poorest(balances []balance, spare job.PoolName) job.PoolName {
 	best, missing := spare, 0
 	for _, b := range balances {
-		if short := baseInstances - b.have - p.cordonedFor(b.name); short > missing {
+		if short := p.base() - b.have - p.cordonedFor(b.name); short > missing {
 			best, missing = b.name, short
 		}
 	}
@@ -146,7 +151,7 @@
 
 // need returns how many instances a pool asks for.
 func (p *Planner) need(now time.Time, report *poolReport) int {
-	need := keepInstances
+	need := max(keepInstances, len(p.instances)/keepShare)
 	capacity := p.typicalCapacity()
 	if capacity.CPU > 0 && capacity.Memory > 0 {
 		asked := max(report.Running+report.Ready, job.Milli(headroom*float64(report.Arriving))+job.Milli(float64(report.Backlog)/backlogTime.Seconds()))
@@ -220,7 +225,7 @@
 // dropMoveCordons frees instances whose target no longer needs them.
 func (p *Planner) dropMoveCordons(balances []balance) {
 	for _, b := range balances {
-		excess := p.cordonedFor(b.name) - max(0, b.deficit(), baseInstances-b.have)
+		excess := p.cordonedFor(b.name) - max(0, b.deficit(), p.base()-b.have)
 		for _, id := range slices.Sorted(maps.Keys(p.cordons)) {
 			if excess <= 0 {
 				break
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -43,6 +43,11 @@
 	// ageDivisor and ageDelay turn the age of a process into a part of its delay.
 	ageDivisor = 200
 	ageDelay   = 300 * time.Millisecond
+	// fullShare is the part of a core with which a process owns a pool of some
+	// 100 runners without falling behind; those that have less are kept back by up
+	// to shareDelay, so that larger ones own the pools while there are any.
+	fullShare  = 0.4
+	shareDelay = 1200 * time.Millisecond
 )
 
 // Claim is the stored form of an ownership.
@@ -117,6 +122,8 @@
 	vacant map[Shard]time.Time
 	// Passive processes renew nothing and take nothing over.
 	Passive bool
+	// Share is the part of a core that the process has; 0 means a full one.
+	Share float64
 	// observed is when claims were last read.
 	observed time.Time
 }
@@ -224,7 +231,15 @@
 // restarted lately is not restarted again soon.
 func (t *Tracker) delay(now time.Time, shard Shard) time.Duration {
 	age := min(now.Sub(t.started)/ageDivisor, ageDelay)
-	return time.Duration(len(t.own))*spreadDelay + age + t.preference(shard)
+	return time.Duration(len(t.own))*spreadDelay + age + t.sizeDelay() + t.preference(shard)
+}
+
+// sizeDelay keeps processes back that have little processor time.
+func (t *Tracker) sizeDelay() time.Duration {
+	if t.Share <= 0 || t.Share >= fullShare {
+		return 0
+	}
+	return time.Duration((1 - t.Share/fullShare) * float64(shareDelay))
 }
 
 // preference differs between processes, so that they begin with different shards.
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -109,6 +109,19 @@
 	})
 }
 
+// TestLargerProcessTakesOverFirst replays the grown Skywatch fleet, whose small
+// entries fell behind as owners while large ones idled.
+func TestLargerProcessTakesOverFirst(t *testing.T) {
+	free := row("entry-9", 9)
+	free.Claim.Released = true
+	large, small := New("entry-1", "a:1", "y", start), New("entry-1", "a:1", "y", start)
+	large.Share, small.Share = 0.8, 0.192
+	const betweenTwo = spreadDelay // a large one with a pool goes before a small one
+	if a, b := takesOver(large, free), takesOver(small, free); b-a < betweenTwo {
+		t.Errorf("large process takes over after %v, small one after %v", a, b)
+	}
+}
+
 func TestYoungestProcessTakesOverFirst(t *testing.T) {
 	free := row("entry-9", 9)
 	free.Claim.Released = true
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -27,20 +27,39 @@
 		return
 	}
 	usable := p.usableRunners(now)
+	widest := widestRoom(usable)
 	for _, j := range candidates {
 		if len(usable) == 0 {
 			return
 		}
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
-				if step.ready > 0 {
-					p.placeStep(now, j, step, &usable)
+				// Most steps of an overloaded pool fit nowhere: that is told at once.
+				if step.ready == 0 || (!step.spec.Persistent && !widest.Fits(step.spec.Demand())) {
+					continue
+				}
+				before := step.ready
+				p.placeStep(now, j, step, &usable)
+				if step.ready < before {
+					widest = widestRoom(usable)
 				}
 			}
 		}
 	}
 }
 
+// widestRoom returns the most that any of the runners has left of each resource.
+func widestRoom(runners []*runnerState) job.Resources {
+	var widest job.Resources
+	for _, r := range runners {
+		free := r.free()
+		widest.CPU = max(widest.CPU, free.CPU)
+		widest.Memory = max(widest.Memory, free.Memory)
+		widest.GPU = max(widest.GPU, free.GPU)
+	}
+	return widest
+}
+
 func (p *Pool) usableRunners(now time.Time) []*runnerState {
 	var out []*runnerState
 	for _, r := range p.runnerOrder {
@@ -48,7 +67,6 @@
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b *runnerState) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -125,7 +143,7 @@
 
 // start orders a runner to run a task.
 func (p *Pool) start(now time.Time, t *task, r *runnerState, run int) {
-	t.step.ready--
+	t.countReady(-1)
 	t.state = starting
 	t.run = run
 	t.moved = now
@@ -164,7 +182,7 @@
 // onRunner counts the tasks of the same step on a runner.
 func (p *Pool) onRunner(t *task, r *runnerState) int {
 	n := 0
-	for _, other := range r.tasks {
+	for _, other := range r.order {
 		if other.step == t.step {
 			n++
 		}
--- a/core/pool/evacuate.go
+++ b/core/pool/evacuate.go
@@ -11,7 +11,7 @@
 		if !r.cordoned && !r.Draining {
 			continue
 		}
-		for _, t := range r.sortedTasks() {
+		for _, t := range r.order { // stops release nothing yet
 			if t.step.spec.Persistent && t.state == running && p.mayInterrupt(now, t) {
 				p.stopTask(now, t, "evacuation")
 			}
@@ -47,21 +47,22 @@
 	speedUpPause = 1 * time.Second
 )
 
-// pace slows the fillers of each runner on which a serving task is near its target.
-func (p *Pool) pace(now time.Time) {
-	for _, r := range p.runnerOrder {
-		worst := 0.0
-		serving := false
-		for _, t := range r.sortedTasks() {
-			if target := t.step.spec.LatencyTarget; target > 0 && t.state == running {
-				serving = true
-				worst = max(worst, float64(t.tail)/float64(target))
-			}
+// pace slows the fillers of a runner on which a serving task is near its target.
+func (p *Pool) pace(now time.Time, r *runnerState) {
+	if r.fillers == 0 {
+		return
+	}
+	worst := 0.0
+	serving := false
+	for _, t := range r.order {
+		if target := t.step.spec.LatencyTarget; target > 0 && t.state == running {
+			serving = true
+			worst = max(worst, float64(t.tail)/float64(target))
 		}
-		for _, t := range r.sortedTasks() {
-			if t.step.spec.Fills && t.state == running {
-				p.paceFiller(now, r, t, serving, worst)
-			}
+	}
+	for _, t := range r.order {
+		if t.step.spec.Fills && t.state == running {
+			p.paceFiller(now, r, t, serving, worst)
 		}
 	}
 }
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -13,7 +13,7 @@
 	// holdWait is how long a runner waits for an end before it answers. Leases
 	// are extended at least as often.
 	holdWait = 900 * time.Millisecond
-	// holdGap collects ends between two calls.
+	// holdGap collects ends between two calls, at the least.
 	holdGap = 60 * time.Millisecond
 	// holdRetry is the pause after a call without an answer.
 	holdRetry = 250 * time.Millisecond
@@ -54,6 +54,20 @@
 	p.emit(h)
 }
 
+// holdGap returns the pause between two calls to a runner. It answers a turn in
+// a pool of some 100 instances: tasks end all the time, so that each call is
+// answered at once, and an owner that asked all of them at the least pause would
+// have no time left for starts.
+func (p *Pool) holdGap() time.Duration {
+	busy := 0
+	for _, r := range p.runnerOrder {
+		if r.trials > 0 {
+			busy++
+		}
+	}
+	return max(holdGap, time.Duration(busy)*time.Second/time.Duration(p.options.HoldRate))
+}
+
 // apply implements Event.
 func (e *RunnerHeld) apply(p *Pool, now time.Time) {
 	r := p.runners[e.Runner]
@@ -61,7 +75,7 @@
 		return
 	}
 	r.holding = false
-	r.holdNext = now.Add(holdGap)
+	r.holdNext = now.Add(p.holdGap())
 	p.noteCall(now, r, e.Call, e.Clock)
 	switch e.Call {
 	case Done:
@@ -82,7 +96,7 @@
 	r.resolved = p.handleEnds(now, r, e.Ended)
 	listed := p.handleRunning(now, r, e)
 	p.handleAbsent(now, r, e, listed)
-	p.pace(now)
+	p.pace(now, r)
 	p.changed = true
 }
 
@@ -266,7 +280,7 @@
 		return nil
 	}
 	if t.state == ready {
-		t.step.ready--
+		t.countReady(-1)
 	}
 	t.run = row.Run
 	t.state = running
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -55,6 +55,12 @@
 // nextRun returns a run number that nobody has used for the task.
 func (t *task) nextRun() int { return max(t.run, t.job.runFloor) + 1 }
 
+// countReady adds n to the counts of ready tasks.
+func (t *task) countReady(n int) {
+	t.step.ready += n
+	t.job.ready += n
+}
+
 // silentAfter is how long after its last answer a runner counts as lost in
 // the account of tasks that are at work.
 const silentAfter = 2 * time.Second
@@ -91,6 +97,10 @@
 	// runFloor is the highest run number that a former owner can have used.
 	runFloor    int
 	occurrences []*occurrence
+	// ready counts the tasks that may be placed.
+	ready int
+	// chain is the estimate of the longest chain of work.
+	chain time.Duration
 	// finishedOccurrences counts those from the first on that are done.
 	finishedOccurrences int
 	begun               bool
@@ -131,7 +141,7 @@
 	}
 	j := &jobState{
 		record: e.Record, version: e.Version, progressVersion: e.ProgressVersion,
-		inherited: e.Inherited,
+		inherited: e.Inherited, chain: e.Record.Spec.Chain(),
 	}
 	if j.inherited {
 		j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
@@ -151,6 +161,7 @@
 	for _, o := range j.occurrences {
 		p.openSteps(now, j, o)
 	}
+	p.enroll(now, j)
 	p.finishIfDone(now, j)
 	p.changed = true
 	p.emit(&Decided{Job: id, What: "jobAccepted", Reason: fmt.Sprintf("inherited=%t", e.Inherited), DataAge: now.Sub(e.Record.Accepted)})
@@ -268,7 +279,7 @@
 		for i := range step.tasks {
 			if t := &step.tasks[i]; t.state == waiting {
 				t.state = ready
-				step.ready++
+				t.countReady(1)
 			}
 		}
 		p.changed = true
@@ -297,7 +308,7 @@
 		return
 	}
 	if t.state != ready && t.job.outcome == "" {
-		t.step.ready++
+		t.countReady(1)
 	}
 	t.state = ready
 }
@@ -308,7 +319,7 @@
 		return
 	}
 	if t.state == ready {
-		t.step.ready--
+		t.countReady(-1)
 	}
 	t.state = done
 	t.step.remaining--
@@ -383,6 +394,7 @@
 // conclude gives a job its outcome and ends what still runs of it.
 func (p *Pool) conclude(now time.Time, j *jobState, outcome job.State, reason string) {
 	j.outcome = outcome
+	j.ready = 0
 	j.touch(now)
 	p.emit(&Decided{Job: j.id(), What: "jobEnded", Reason: string(outcome) + ": " + reason, DataAge: now.Sub(j.record.Accepted)})
 	for _, o := range j.occurrences {
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -120,7 +120,7 @@
 
 // advance ends the runs whose time has come, and all if the lease is over.
 func (r *modelRunner) advance() {
-	if r.dead {
+	if r.dead || !r.due() {
 		return
 	}
 	for _, task := range r.sorted() {
@@ -134,6 +134,16 @@
 	}
 }
 
+// due reports whether any run ends now.
+func (r *modelRunner) due() bool {
+	for _, run := range r.running {
+		if r.world.now.After(r.lease) || !run.ends.After(r.world.now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *modelRunner) sorted() []job.TaskID {
 	return slices.SortedFunc(maps.Keys(r.running), job.TaskID.Compare)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -44,6 +44,8 @@
 	Lease time.Duration
 	// StartWindow is how long a start order is valid.
 	StartWindow time.Duration
+	// HoldRate bounds the calls a second that ask runners what has ended.
+	HoldRate int
 }
 
 // Defaults of the options.
@@ -52,11 +54,16 @@
 	DefaultLease = 5 * time.Second
 	// DefaultStartWindow bounds how long a lost start order blocks its task.
 	DefaultStartWindow = 2 * time.Second
+	// DefaultHoldRate takes an owner less than half a core.
+	DefaultHoldRate = 2000
 )
 
 func (o *Options) setDefaults() {
 	setDefault(&o.Lease, DefaultLease)
 	setDefault(&o.StartWindow, DefaultStartWindow)
+	if o.HoldRate <= 0 {
+		o.HoldRate = DefaultHoldRate
+	}
 	o.StartWindow = min(o.StartWindow, o.Lease)
 }
 
@@ -104,8 +111,9 @@
 	unheard, gone map[RunnerID]bool
 	arrivals      arrivals
 
-	// planned is when the jobs were last ranked.
+	// planned is when the jobs were last ranked, ranked their order.
 	planned time.Time
+	ranked  []*jobState
 	deposed bool
 	// changed is true if a task may have become placeable since the last dispatch.
 	changed bool
@@ -129,14 +137,17 @@
 	}
 }
 
-// Reduce applies an event and returns what is to be done. The result is valid
-// until the next call.
-func (p *Pool) Reduce(now time.Time, event Event) []Effect {
+// Reduce applies events in order and returns what is to be done. Placing and
+// saving look at the state after the last of them, so that an owner that falls
+// behind gets cheaper by the event. The result is valid until the next call.
+func (p *Pool) Reduce(now time.Time, events ...Event) []Effect {
 	clear(p.effects)
 	p.effects = p.effects[:0]
-	event.apply(p, now)
-	if p.deposed {
-		return p.effects
+	for _, event := range events {
+		event.apply(p, now)
+		if p.deposed {
+			return p.effects
+		}
 	}
 	if p.changed {
 		p.changed = false
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -225,6 +225,7 @@
 	r.runners("r1")
 	r.held("r1", nil, nil)
 	r.started(r.store(id(1), false, oneTask()))
+	want(t, "calls that extend the lease", len(of[*HoldRunner](r.pass(2*holdGap))), 1)
 	r.send(&RunnerHeld{Runner: "r1", Call: Unknown, Sent: r.now})
 	r.runners("r1", "r2")
 	r.held("r2", nil, nil)
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -54,59 +54,74 @@
 	}
 	recovered := p.recovered(now)
 	var out []*jobState
-	for _, j := range p.jobOrder {
-		if j.outcome != "" || (j.inherited && !recovered) || j.ready() == 0 {
-			continue
-		}
-		if j.rank == (rank{}) {
-			j.rank = p.rank(now, j)
+	for _, j := range p.ranked {
+		if j.ready > 0 && j.outcome == "" && (recovered || !j.inherited) {
+			out = append(out, j)
 		}
-		out = append(out, j)
 	}
-	slices.SortFunc(out, func(a, b *jobState) int {
-		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.id(), b.id()))
-	})
 	return out
 }
 
+// enroll puts a new job among the ranked ones until the next plan.
+func (p *Pool) enroll(now time.Time, j *jobState) {
+	j.rank = p.rank(now, j)
+	at, _ := slices.BinarySearchFunc(p.ranked, j, compareJobs)
+	p.ranked = slices.Insert(p.ranked, at, j)
+}
+
+func compareJobs(a, b *jobState) int {
+	return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.id(), b.id()))
+}
+
 // plan ranks all jobs. It answers a turn that asks for more than the pool can
 // serve in time: going by deadlines alone, every job would begin when it is
 // about to be late, and most would be. A job whose turn would come too late
 // behind the admitted ones is deferred instead.
 func (p *Pool) plan(now time.Time) {
 	p.planned = now
-	var inTime []*jobState
+	clear(p.ranked)
+	p.ranked = p.ranked[:0]
 	for _, j := range p.jobOrder {
-		if j.outcome != "" {
-			continue
-		}
-		j.rank = p.rank(now, j)
-		if j.rank.tier == tierInTime {
-			inTime = append(inTime, j)
+		if j.outcome == "" {
+			j.rank = p.rank(now, j)
+			p.ranked = append(p.ranked, j)
 		}
 	}
-	slices.SortFunc(inTime, func(a, b *jobState) int { return a.rank.compare(b.rank) })
+	slices.SortFunc(p.ranked, compareJobs)
+	if p.deferLate(now) {
+		slices.SortFunc(p.ranked, compareJobs)
+	}
+}
+
+// deferLate moves jobs out of the first tier whose turn would come too late. It
+// reports whether there are any.
+func (p *Pool) deferLate(now time.Time) bool {
 	capacity := p.capacity(now)
 	if capacity == 0 {
-		return
+		return false
 	}
+	deferred := false
 	ahead := p.workRunning(now)
-	for _, j := range inTime {
-		work := j.workLeft()
+	for _, j := range p.ranked {
+		if j.rank.tier != tierInTime {
+			continue
+		}
 		wait := time.Duration(ahead / float64(capacity) * float64(time.Second))
 		if !j.rank.begun && now.Add(wait).After(j.rank.due) {
 			j.rank.tier = tierDeferred
+			deferred = true
 			continue
 		}
-		ahead += work
+		ahead += j.workLeft()
 	}
+	return deferred
 }
 
 // workRunning estimates the work that is left of the tasks on runners.
 func (p *Pool) workRunning(now time.Time) float64 {
 	work := 0.0
 	for _, r := range p.runnerOrder {
-		for _, t := range r.tasks {
+		for _, t := range r.order {
 			spec := t.step.spec
 			if left := spec.EstimatedRuntime - now.Sub(t.ordered); left > 0 && !spec.Persistent && !spec.Fills {
 				work += float64(spec.CPU) * left.Seconds()
@@ -127,16 +142,6 @@
 	return sum
 }
 
-func (j *jobState) ready() int {
-	n := 0
-	for _, o := range j.occurrences {
-		for _, step := range o.steps {
-			n += step.ready
-		}
-	}
-	return n
-}
-
 // workLeft estimates the work of the tasks that have not begun.
 func (j *jobState) workLeft() float64 {
 	work := 0.0
@@ -159,7 +164,7 @@
 	if len(j.occurrences) > 0 && j.occurrences[0].due.After(begin) {
 		begin = j.occurrences[0].due
 	}
-	objective := time.Duration(q.Stretch*float64(j.record.Spec.Chain())) + q.LatencyTarget
+	objective := time.Duration(q.Stretch*float64(j.chain)) + q.LatencyTarget
 	left := j.chainLeft()
 	if !j.begun {
 		left = time.Duration(leftMargin * float64(left))
@@ -179,7 +184,8 @@
 func (j *jobState) chainLeft() time.Duration {
 	var longest time.Duration
 	for _, o := range j.occurrences {
-		ends := make([]time.Duration, len(o.steps))
+		var few [8]time.Duration // most jobs have few steps: no allocation
+		ends := append(few[:0], make([]time.Duration, len(o.steps))...)
 		for s, step := range o.steps {
 			var begin time.Duration
 			for _, before := range step.spec.After {
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -44,7 +44,7 @@
 		line := RunnerReport{
 			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now), Known: r.resolved,
 		}
-		line.Passing = r.countTrials()
+		line.Passing = r.trials
 		line.Persistent = len(r.tasks) - line.Passing
 		report.Runners = append(report.Runners, line)
 	}
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -64,7 +63,11 @@
 	// leaseEnds is when everything that runs there has surely ended.
 	leaseEnds time.Time
 	tasks     map[job.TaskID]*task
-	used      job.Resources
+	// order holds the tasks by id; trials counts those that end by themselves and
+	// fillers those that fill.
+	order           []*task
+	trials, fillers int
+	used            job.Resources
 	// strangers are listed tasks that this owner did not start and is ending.
 	strangers map[job.TaskID]int
 	ends      []unacknowledged
@@ -107,13 +110,9 @@
 	}
 }
 
-// sortedTasks returns the tasks in a fixed order.
-func (r *runnerState) sortedTasks() []*task {
-	if len(r.tasks) == 0 {
-		return nil
-	}
-	return slices.SortedFunc(maps.Values(r.tasks), func(a, b *task) int { return a.id.Compare(b.id) })
-}
+// sortedTasks returns the tasks in a fixed order. The result stays as it is when
+// tasks are released.
+func (r *runnerState) sortedTasks() []*task { return slices.Clone(r.order) }
 
 func (r *runnerState) free() job.Resources { return r.Capacity.Sub(r.used) }
 
@@ -121,18 +120,7 @@
 func (r *runnerState) usable(now time.Time) bool {
 	return r.resolved && !r.Draining && !r.cordoned && r.missing.IsZero() &&
 		r.failedCalls == 0 && len(r.strangers) == 0 &&
-		!now.Before(r.avoidUntil) && r.health.admits(now, r.countTrials())
-}
-
-// countTrials counts the tasks that end by themselves.
-func (r *runnerState) countTrials() int {
-	n := 0
-	for _, t := range r.tasks {
-		if !t.step.spec.Persistent {
-			n++
-		}
-	}
-	return n
+		!now.Before(r.avoidUntil) && r.health.admits(now, r.trials)
 }
 
 func (r *runnerState) hasLabel(label string) bool { return slices.Contains(r.Labels, label) }
@@ -143,13 +131,35 @@
 		return
 	}
 	delete(r.tasks, t.id)
+	if at, found := r.position(t); found {
+		r.order = slices.Delete(r.order, at, at+1)
+	}
+	r.count(t, -1)
 	r.used = r.used.Sub(t.step.spec.Demand())
 	t.runner = nil
 }
 
+// position returns where a task stands in the order, or would stand.
+func (r *runnerState) position(t *task) (int, bool) {
+	return slices.BinarySearchFunc(r.order, t, func(a, b *task) int { return a.id.Compare(b.id) })
+}
+
+// count adds n to the counts that a task belongs to.
+func (r *runnerState) count(t *task, n int) {
+	if !t.step.spec.Persistent {
+		r.trials += n
+	}
+	if t.step.spec.Fills {
+		r.fillers += n
+	}
+}
+
 // assign puts a task on the runner.
 func (r *runnerState) assign(t *task) {
 	r.tasks[t.id] = t
+	at, _ := r.position(t)
+	r.order = slices.Insert(r.order, at, t)
+	r.count(t, 1)
 	r.used = r.used.Add(t.step.spec.Demand())
 	t.runner = r
 }
@@ -275,6 +285,8 @@
 	p.resolveOrders(now)
 	p.evacuate(now)
 	p.stopStuck(now)
-	p.pace(now)
+	for _, r := range p.runnerOrder {
+		p.pace(now, r)
+	}
 	p.activate(now)
 }
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -33,6 +33,12 @@
 	finished map[job.ID]time.Time
 	handedIn map[job.ID]time.Time
 	failed   string
+	// reducing is the real time that the reducer took for its events; benchmarks
+	// report it.
+	reducing time.Duration
+	events   int
+	// holds counts the calls that ask runners for ends.
+	holds int
 }
 
 // faults are the shares of calls that go wrong.
@@ -190,7 +196,10 @@
 	if p != w.pool && (p != w.former || w.now.After(w.formerUntil)) {
 		return // a former owner's process is gone
 	}
+	began := time.Now()
 	effects := append([]Effect(nil), p.Reduce(w.now, e)...)
+	w.reducing += time.Since(began)
+	w.events++
 	for _, effect := range effects {
 		w.perform(p, effect)
 	}
@@ -250,6 +259,7 @@
 			}
 		}, func() { w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run}) })
 	case *HoldRunner:
+		w.holds++
 		r := w.runner(e.Runner.ID)
 		sent := w.now
 		w.deliver(r, func() func() {
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -72,6 +72,8 @@
 	// Name is the entry's name, Address where it answers its peers.
 	Name    string
 	Address string
+	// Share is the part of a core that the entry has; 0 means a full one.
+	Share float64
 	// Advice is where advice on steps is to be had; it may be empty.
 	Advice string
 	// Retention is how long the outcome of a job is kept.
@@ -152,6 +154,7 @@
 	}
 	incarnation := newIncarnation()
 	m.tracker = ownership.New(o.Name, o.Address, incarnation, time.Now())
+	m.tracker.Share = o.Share
 	m.peers = owner.NewPeers(m, o.Logger)
 	m.store = newRelay(store, m.peers, m.otherEntries, o.Logger)
 	m.direct = newWriter(m.store, discard{}, o.Logger)
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -5,10 +5,8 @@
 	"time"
 
 	"bronzestair/core/job"
-	"bronzestair/core/maintenance"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
-	"bronzestair/core/table"
 )
 
 // Timing of a pool's owner.
@@ -16,6 +14,11 @@
 	tickInterval = 50 * time.Millisecond
 	// inboxSize holds the events of a burst.
 	inboxSize = 4096
+	// maxBatch bounds the events between two answers to queries.
+	maxBatch = 256
+	// holdRatePerCore is how many calls a second an owner may spend on asking
+	// runners; each takes it some 0.2 ms.
+	holdRatePerCore = 2000
 	// cordonTerm is how long cordons last without being asked for again.
 	cordonTerm = 3 * time.Second
 	// livesInterval is how often a new owner that has not heard all runners asks
@@ -44,6 +47,7 @@
 	tenure ownership.Tenure
 	cancel context.CancelFunc
 	inbox  chan pool.Event
+	batch  []pool.Event
 	// queries are run between events.
 	queries chan func(context.Context, *pool.Pool)
 	writer  *writer
@@ -101,7 +105,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-o.inbox:
-			o.reduce(ctx, p, e)
+			o.reduce(ctx, p, o.collect(e)...)
 		case query := <-o.queries:
 			query(ctx, p)
 		case <-ticker.C:
@@ -120,7 +124,7 @@
 	}
 	return pool.Options{
 		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
-		Lease: lease,
+		Lease: lease, HoldRate: int(holdRatePerCore * o.m.options.Share),
 	}
 }
 
@@ -138,8 +142,22 @@
 	}
 }
 
-func (o *poolOwner) reduce(ctx context.Context, p *pool.Pool, e pool.Event) {
-	for _, effect := range p.Reduce(time.Now(), e) {
+// collect returns an event and those that have come since.
+func (o *poolOwner) collect(first pool.Event) []pool.Event {
+	o.batch = append(o.batch[:0], first)
+	for len(o.batch) < maxBatch {
+		select {
+		case next := <-o.inbox:
+			o.batch = append(o.batch, next)
+		default:
+			return o.batch
+		}
+	}
+	return o.batch
+}
+
+func (o *poolOwner) reduce(ctx context.Context, p *pool.Pool, events ...pool.Event) {
+	for _, effect := range p.Reduce(time.Now(), events...) {
 		o.perform(ctx, effect)
 	}
 }
@@ -256,136 +274,3 @@
 	}
 	o.m.logger.Info(e.What, append(attributes, "reason", e.Reason)...)
 }
-
-// listLives tells a new owner which runners are gone, until it has heard of all.
-func (o *poolOwner) listLives(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, livesInterval)
-		recovered := false
-		if !o.ask(ctx, func(_ context.Context, p *pool.Pool) { recovered = p.Recovered(time.Now()) }) || recovered {
-			return
-		}
-		asked := time.Now()
-		instances, err := o.m.instances.List(ctx)
-		if err != nil {
-			o.m.logger.Warn("instances are not listed", "pool", o.name, "error", err)
-			continue
-		}
-		event := &pool.LivesListed{Asked: asked, Alive: map[pool.RunnerID]bool{}}
-		for _, i := range instances {
-			if i.Pool == o.name && i.State == maintenance.Up {
-				event.Alive[i.Runner] = true
-			}
-		}
-		o.submit(event)
-	}
-}
-
-// load hands over all stored jobs, and then the changes.
-func (o *poolOwner) load(ctx context.Context) {
-	o.awaitFence(ctx)
-	pause := newBackoff()
-	for ctx.Err() == nil {
-		present, version, err := o.loadJobs(ctx)
-		if err != nil {
-			o.m.logger.Warn("jobs are not loaded", "pool", o.name, "error", err)
-			sleep(ctx, pause.NextBackOff())
-			continue
-		}
-		o.submit(&pool.JobsLoaded{Present: present, Version: pool.RowVersion(version)})
-		o.m.followFrom(ctx, jobTable, version, func() time.Duration { return jobFeedPause }, o.applyJobRows)
-		pause.Reset()
-	}
-}
-
-// awaitFence waits until no former owner can acknowledge ends.
-func (o *poolOwner) awaitFence(ctx context.Context) {
-	for fenced := false; !fenced && ctx.Err() == nil; {
-		if !o.ask(ctx, func(_ context.Context, p *pool.Pool) { fenced = p.Fenced(time.Now()) }) {
-			return
-		}
-		if !fenced {
-			sleep(ctx, fencePoll)
-		}
-	}
-}
-
-// loadJobs hands over the stored jobs of the pool. It returns the names of all
-// stored jobs and a version before which nothing was missed.
-func (o *poolOwner) loadJobs(ctx context.Context) (map[job.ID]bool, table.Version, error) {
-	present := map[job.ID]bool{}
-	_, first, err := o.m.readPart(ctx, jobTable, "") // for the version alone: jobs lie in the parts of queues
-	if err != nil {
-		return nil, 0, err
-	}
-	parts, err := o.m.store.Parts(ctx, jobTable)
-	if err != nil {
-		return nil, 0, err
-	}
-	for _, part := range parts {
-		progress, _, err := o.m.readPart(ctx, progressTable, part)
-		if err != nil {
-			return nil, 0, err
-		}
-		rows, _, err := o.m.readPart(ctx, jobTable, part)
-		if err != nil {
-			return nil, 0, err
-		}
-		for _, row := range rows {
-			present[job.ID(row.Name)] = true
-		}
-		o.handOver(rows, progress)
-	}
-	return present, first, nil
-}
-
-// handOver gives stored jobs to the reducer.
-func (o *poolOwner) handOver(rows, progress []table.Row) {
-	saved := make(map[string]table.Row, len(progress))
-	for _, row := range progress {
-		saved[row.Name] = row
-	}
-	for _, row := range rows {
-		event := o.decodeJob(row)
-		if event == nil {
-			continue
-		}
-		event.Inherited = row.Version <= table.Version(o.tenure.Fence)
-		if row, ok := saved[row.Name]; ok {
-			decoded, err := job.DecodeProgress(row.Value)
-			if err != nil {
-				o.m.logger.Error("progress is broken", "job", row.Name, "error", err)
-			} else {
-				event.Progress = decoded
-			}
-			event.ProgressVersion = pool.RowVersion(row.Version)
-		}
-		o.submit(event)
-	}
-}
-
-// decodeJob returns the event for a job's row, or nil if it is not one of this pool.
-func (o *poolOwner) decodeJob(row table.Row) *pool.JobStored {
-	record, err := job.DecodeRecord(row.Value)
-	if err != nil {
-		o.m.logger.Error("job is broken", "job", row.Name, "error", err)
-		return nil
-	}
-	if record.Pool != o.name {
-		return nil
-	}
-	return &pool.JobStored{Record: record, Version: pool.RowVersion(row.Version)}
-}
-
-// applyJobRows hands over the changes that the feed tells.
-func (o *poolOwner) applyJobRows(_ context.Context, c changes) {
-	for _, row := range c.rows {
-		if row.Removed {
-			o.submit(&pool.JobRemoved{ID: job.ID(row.Name)})
-			continue
-		}
-		if event := o.decodeJob(row); event != nil {
-			o.submit(event)
-		}
-	}
-}
