End a job with the second run of its last task; learn run times; look ahead at arrivals

Cause: a job whose last task was done while another run of it was still on a runner never ended: the end of that run freed the task without looking at the job. Ruled out: an order that stays in flight (all tasks were done, none on a runner). Besides: run times are learned by queue, arrivals are told for the time at which instances that are asked for take tasks, and persistent tasks of different steps share runners, as those that have one cannot move to another pool.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -146,6 +146,7 @@
 	t.countReady(-1)
 	t.state = starting
 	t.run = run
+	t.resumed = t.saved != ""
 	t.moved = now
 	r.assign(t)
 	p.order(now, t)
@@ -195,8 +196,10 @@
 	failed  bool // the task has failed there
 	far     bool // data or siblings are on another rack
 	suspect int
-	cold    time.Duration
-	load    job.Milli // room left after placement
+	// fresh is true for the first persistent task of a runner.
+	fresh bool
+	cold  time.Duration
+	load  job.Milli // room left after placement
 }
 
 func (s placementScore) compare(o placementScore) int {
@@ -204,6 +207,7 @@
 		compareBool(s.failed, o.failed),
 		cmp.Compare(s.suspect, o.suspect),
 		compareBool(s.far, o.far),
+		compareBool(s.fresh, o.fresh),
 		cmp.Compare(s.cold, o.cold),
 		cmp.Compare(s.load, o.load),
 	)
@@ -232,7 +236,10 @@
 		s.far = !p.sharesRack(t, r)
 	}
 	if spec.Persistent {
-		s.load = -s.load // spread: a lost runner takes few of them along
+		// Runners that have a persistent task cannot be moved to another pool: those
+		// of different steps share them, as evenly as may be.
+		s.fresh = len(r.tasks) == r.trials
+		s.load = -s.load
 	}
 	return s
 }
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -55,19 +55,6 @@
 	return h.failures < suspectAfter || tasks == 0
 }
 
-// noteRuntime learns how long the tasks of a step take.
-func (p *Pool) noteRuntime(now time.Time, r *runnerState, t *task, end EndedTask) {
-	if end.How != EndDone || t.confirmed.IsZero() || t.runner != r {
-		return
-	}
-	took := now.Sub(t.confirmed)
-	if t.step.runMean == 0 {
-		t.step.runMean = took
-		return
-	}
-	t.step.runMean = (t.step.runMean*3 + took) / 4
-}
-
 // Tasks that stand still. It answers workers that take tasks and do nothing.
 const (
 	// stuckAfter is the least time without any progress after which a task is
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -181,6 +181,7 @@
 	r.health.succeed()
 	if t.runner == r && t.run == end.Run {
 		r.release(t)
+		p.finishIfDone(now, t.job)
 	}
 	if t.step.spec.Persistent {
 		if t.runner == nil && t.job.outcome == "" {
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -35,7 +35,9 @@
 	run    int
 	failed job.Failures
 	saved  string
-	runner *runnerState
+	// resumed is true if this run went on from saved work.
+	resumed bool
+	runner  *runnerState
 	// avoid is where the last run failed.
 	avoid RunnerID
 
@@ -77,8 +79,6 @@
 	remaining int
 	ready     int
 	open      bool
-	// runMean is the mean of the run times seen, 0 for none.
-	runMean time.Duration
 }
 
 // occurrence is one run through a job's steps.
@@ -101,6 +101,8 @@
 	ready int
 	// chain is the estimate of the longest chain of work.
 	chain time.Duration
+	// runtimes is what is known of the queue's estimates.
+	runtimes *runtimes
 	// finishedOccurrences counts those from the first on that are done.
 	finishedOccurrences int
 	begun               bool
@@ -141,14 +143,14 @@
 	}
 	j := &jobState{
 		record: e.Record, version: e.Version, progressVersion: e.ProgressVersion,
-		inherited: e.Inherited, chain: e.Record.Spec.Chain(),
+		inherited: e.Inherited, chain: e.Record.Spec.Chain(), runtimes: p.runtimesOf(e.Record.Queue),
 	}
 	if j.inherited {
 		j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
 	}
 	p.addJob(j)
 	if !j.inherited {
-		p.arrivals.add(now, &e.Record.Spec)
+		p.arrivals.add(now, j)
 	}
 	if e.Progress != nil {
 		j.begun = true
--- a/core/pool/matrix_test.go
+++ b/core/pool/matrix_test.go
@@ -40,7 +40,7 @@
 		}
 	}
 	for title, f := range cases {
-		for seed := range uint64(6) {
+		for seed := range uint64(10) {
 			t.Run(fmt.Sprintf("%s/%d", title, seed), func(t *testing.T) { runMatrix(t, seed, f) })
 		}
 	}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -148,16 +148,21 @@
 // freeTask takes a task off its runner after it has ended or was never begun.
 func (p *Pool) freeTask(now time.Time, t *task) {
 	r := t.runner
-	if t.job.outcome != "" {
-		if t.state != done {
-			t.state = waiting
-		}
+	switch {
+	case t.state == done:
+		// A second run of a task that is done was the last thing to wait for.
 		r.release(t)
+		p.finishIfDone(now, t.job)
 		p.forget(t.job)
 		p.changed = true
-		return
+	case t.job.outcome != "":
+		t.state = waiting
+		r.release(t)
+		p.forget(t.job)
+		p.changed = true
+	default:
+		p.makeReady(t)
 	}
-	p.makeReady(t)
 }
 
 // resolveOrders sends stops without an answer again.
@@ -181,12 +186,6 @@
 			continue
 		}
 		p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "taskLost", Reason: reason, DataAge: now.Sub(r.answered)})
-		if t.state == done {
-			r.release(t)
-			p.finishIfDone(now, t.job)
-			p.forget(t.job)
-			continue
-		}
 		p.freeTask(now, t)
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -110,6 +110,7 @@
 	// that are registered but over.
 	unheard, gone map[RunnerID]bool
 	arrivals      arrivals
+	runtimes      map[job.QueueName]*runtimes
 
 	// planned is when the jobs were last ranked, ranked their order.
 	planned time.Time
@@ -134,6 +135,8 @@
 		tickets: map[string]*stepTickets{},
 		unheard: map[RunnerID]bool{},
 		gone:    map[RunnerID]bool{},
+
+		runtimes: map[job.QueueName]*runtimes{},
 	}
 }
 
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -202,6 +202,18 @@
 	}
 }
 
+// TestJobEndsWithTheSecondRunOfItsLastTask replays a task that is done while
+// another run of it is still on a runner: the job ends once that run has.
+func TestJobEndsWithTheSecondRunOfItsLastTask(t *testing.T) {
+	r := newRig(t, Options{Epoch: 2})
+	r.runners("r1", "r2")
+	r.store(id(1), true, oneTask())
+	r.held("r2", []RunningTask{{Task: name(1, 0, 0), Run: 2}}, nil)
+	r.held("r1", nil, []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 1, How: EndDone}})
+	effects := r.held("r2", nil, []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 2, How: EndStopped}})
+	want(t, "outcomes stored", len(of[*FinishJob](effects)), 1)
+}
+
 func TestFailuresAreCountedInAnyOrder(t *testing.T) {
 	r := newRig(t, Options{Epoch: 2, Loading: true})
 	r.runners("r1", "r2")
@@ -365,10 +377,11 @@
 	var a arrivals
 	now := time.Unix(1_000_000, 0)
 	spec := job.Spec{Steps: []job.Step{{Count: 1, Resources: job.Resources{CPU: 1000}, EstimatedRuntime: time.Second}}}
+	j := &jobState{record: &job.Record{Spec: spec}, runtimes: &runtimes{}}
 	perSecond := 10.0
 	for range 30 {
 		for range int(perSecond / 10) {
-			a.add(now, &spec)
+			a.add(now, j)
 		}
 		now = now.Add(100 * time.Millisecond)
 		perSecond *= 1.0718 // doubles in 10 steps
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -123,7 +123,7 @@
 	for _, r := range p.runnerOrder {
 		for _, t := range r.order {
 			spec := t.step.spec
-			if left := spec.EstimatedRuntime - now.Sub(t.ordered); left > 0 && !spec.Persistent && !spec.Fills {
+			if left := t.job.expected(spec) - now.Sub(t.ordered); left > 0 && !spec.Persistent && !spec.Fills {
 				work += float64(spec.CPU) * left.Seconds()
 			}
 		}
@@ -147,7 +147,7 @@
 	work := 0.0
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
-			work += float64(step.notBegun()) * step.spec.Work()
+			work += float64(step.notBegun()) * j.work(step.spec)
 		}
 	}
 	return work
@@ -164,7 +164,7 @@
 	if len(j.occurrences) > 0 && j.occurrences[0].due.After(begin) {
 		begin = j.occurrences[0].due
 	}
-	objective := time.Duration(q.Stretch*float64(j.chain)) + q.LatencyTarget
+	objective := time.Duration(q.Stretch*j.runtimes.factor()*float64(j.chain)) + q.LatencyTarget
 	left := j.chainLeft()
 	if !j.begun {
 		left = time.Duration(leftMargin * float64(left))
@@ -193,7 +193,7 @@
 			}
 			ends[s] = begin
 			if step.remaining > 0 {
-				ends[s] += step.spec.EstimatedRuntime
+				ends[s] += j.expected(step.spec)
 			}
 			longest = max(longest, ends[s])
 		}
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -61,7 +61,7 @@
 func (r *Report) addJob(j *jobState) {
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
-			r.Backlog += job.Milli(float64(step.notBegun()) * step.spec.Work())
+			r.Backlog += job.Milli(float64(step.notBegun()) * j.work(step.spec))
 			r.Ready += job.Milli(step.ready) * step.spec.Demand().CPU
 			r.ReadyMemory += job.MiB(step.ready) * step.spec.Demand().Memory
 			running := step.onRunners()
@@ -96,9 +96,17 @@
 	return n
 }
 
-// arrivalWindow is over how long the rate of arriving work is taken: long enough
-// for a few jobs in a turn, short against the turn's seconds.
-const arrivalWindow = 800 * time.Millisecond
+// Forecast of the work that comes in.
+const (
+	// arrivalWindow is over how long the rate of arriving work is taken: long enough
+	// for a few jobs in a turn, short against the turn's seconds.
+	arrivalWindow = 1200 * time.Millisecond
+	// arrivalAhead is how far ahead the rate is told: an instance that is asked for
+	// now takes tasks after about this time.
+	arrivalAhead = 1800 * time.Millisecond
+	// trendShare of a rise is taken to go on: few jobs make a noisy trend.
+	trendShare = 0.6
+)
 
 // arrivals measures the work that comes in. The zero value has seen none.
 type arrivals struct {
@@ -111,33 +119,38 @@
 }
 
 // add notes a job.
-func (a *arrivals) add(now time.Time, spec *job.Spec) {
+func (a *arrivals) add(now time.Time, j *jobState) {
+	spec := &j.record.Spec
 	if spec.Persistent() {
 		return
 	}
 	work := 0.0
 	for i := range spec.Steps {
-		work += float64(spec.Steps[i].Count) * spec.Steps[i].Work()
+		work += float64(spec.Steps[i].Count) * j.work(&spec.Steps[i])
 	}
 	a.seen = append(a.seen, arrival{at: now, work: work})
 }
 
-// rate returns the work per time over the window, or over its latter half if that
-// is more: a turn that rises is to be met as it will be.
+// rate returns the work per time that is expected once instances that are asked
+// for now take tasks. It answers turns that rise for seconds: by the time at which
+// room for today's rate is there, more is needed.
 func (a *arrivals) rate(now time.Time) job.Milli {
+	const half = arrivalWindow / 2
 	n := 0
-	all, latter := 0.0, 0.0
+	former, latter := 0.0, 0.0
 	for _, s := range a.seen {
-		age := now.Sub(s.at)
-		if age > arrivalWindow {
+		switch age := now.Sub(s.at); {
+		case age > arrivalWindow:
 			n++
-			continue
-		}
-		all += s.work
-		if age <= arrivalWindow/2 {
+		case age > half:
+			former += s.work
+		default:
 			latter += s.work
 		}
 	}
 	a.seen = a.seen[n:]
-	return job.Milli(max(all, 2*latter) / arrivalWindow.Seconds())
+	mean := (former + latter) / arrivalWindow.Seconds()
+	rise := (latter - former) / half.Seconds() / half.Seconds()
+	ahead := latter/half.Seconds() + trendShare*rise*(half/2+arrivalAhead).Seconds()
+	return job.Milli(max(mean, ahead))
 }
