--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -20,14 +20,14 @@
 	// baseInstances, or one in baseShare, are what idle pools are filled up to: any
 	// may be the next to have its turn.
 	baseInstances = 8
-	baseShare     = 6
+	baseShare     = 8
 	// headroom is asked for beyond the work that arrives, as estimates are rough.
 	headroom = 1.3
 	// backlogTime is within how long waiting work is to begin.
 	backlogTime = 1500 * time.Millisecond
 	// idleTime is how long a pool asks for less than it has before it gives up
 	// instances that no other pool asks for.
-	idleTime = 1500 * time.Millisecond
+	idleTime = 800 * time.Millisecond
 	// spareInstances are kept beyond what is asked for.
 	spareInstances = 1
 	// spreadReserve is kept beside the instances over which a step is spread: one
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -370,23 +370,3 @@
 		t.Errorf("starts = %v, want one on the other runner", again)
 	}
 }
-
-// TestArrivalsFollowARisingTurn replays a turn that doubles each second: what a
-// pool asks for must not be what it needed half a second ago.
-func TestArrivalsFollowARisingTurn(t *testing.T) {
-	var a arrivals
-	now := time.Unix(1_000_000, 0)
-	spec := job.Spec{Steps: []job.Step{{Count: 1, Resources: job.Resources{CPU: 1000}, EstimatedRuntime: time.Second}}}
-	j := &jobState{record: &job.Record{Spec: spec}, runtimes: &runtimes{}}
-	perSecond := 10.0
-	for range 30 {
-		for range int(perSecond / 10) {
-			a.add(now, j)
-		}
-		now = now.Add(100 * time.Millisecond)
-		perSecond *= 1.0718 // doubles in 10 steps
-	}
-	if got, least := float64(a.rate(now))/1000, 0.75*perSecond; got < least {
-		t.Errorf("rate = %.0f cores, want %.0f of the %.0f that arrive", got, least, perSecond)
-	}
-}
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -28,7 +28,7 @@
 	// run on what the others leave.
 	Running, Ready job.Milli
 	// Arriving is the work that came in lately, in processor time per time, and
-	// Backlog the work that has not begun, in processor time times a second.
+	// Backlog the work of tasks that could begin, in processor time times a second.
 	Arriving, Backlog job.Milli
 	// RunningMemory and ReadyMemory are the same for memory.
 	RunningMemory, ReadyMemory job.MiB
@@ -61,7 +61,7 @@
 func (r *Report) addJob(j *jobState) {
 	for _, o := range j.occurrences {
 		for _, step := range o.steps {
-			r.Backlog += job.Milli(float64(step.notBegun()) * j.work(step.spec))
+			r.Backlog += job.Milli(float64(step.ready) * j.work(step.spec))
 			r.Ready += job.Milli(step.ready) * step.spec.Demand().CPU
 			r.ReadyMemory += job.MiB(step.ready) * step.spec.Demand().Memory
 			running := step.onRunners()
@@ -95,62 +95,3 @@
 	}
 	return n
 }
-
-// Forecast of the work that comes in.
-const (
-	// arrivalWindow is over how long the rate of arriving work is taken: long enough
-	// for a few jobs in a turn, short against the turn's seconds.
-	arrivalWindow = 1200 * time.Millisecond
-	// arrivalAhead is how far ahead the rate is told: an instance that is asked for
-	// now takes tasks after about this time.
-	arrivalAhead = 1800 * time.Millisecond
-	// trendShare of a rise is taken to go on: few jobs make a noisy trend.
-	trendShare = 0.6
-)
-
-// arrivals measures the work that comes in. The zero value has seen none.
-type arrivals struct {
-	seen []arrival
-}
-
-type arrival struct {
-	at   time.Time
-	work float64
-}
-
-// add notes a job.
-func (a *arrivals) add(now time.Time, j *jobState) {
-	spec := &j.record.Spec
-	if spec.Persistent() {
-		return
-	}
-	work := 0.0
-	for i := range spec.Steps {
-		work += float64(spec.Steps[i].Count) * j.work(&spec.Steps[i])
-	}
-	a.seen = append(a.seen, arrival{at: now, work: work})
-}
-
-// rate returns the work per time that is expected once instances that are asked
-// for now take tasks. It answers turns that rise for seconds: by the time at which
-// room for today's rate is there, more is needed.
-func (a *arrivals) rate(now time.Time) job.Milli {
-	const half = arrivalWindow / 2
-	n := 0
-	former, latter := 0.0, 0.0
-	for _, s := range a.seen {
-		switch age := now.Sub(s.at); {
-		case age > arrivalWindow:
-			n++
-		case age > half:
-			former += s.work
-		default:
-			latter += s.work
-		}
-	}
-	a.seen = a.seen[n:]
-	mean := (former + latter) / arrivalWindow.Seconds()
-	rise := (latter - former) / half.Seconds() / half.Seconds()
-	ahead := latter/half.Seconds() + trendShare*rise*(half/2+arrivalAhead).Seconds()
-	return job.Milli(max(mean, ahead))
-}
