--- a/core/pool/arrivals.go
+++ b/core/pool/arrivals.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-
 	"time"
 
 	"bronzestair/core/job"
