Spread a queue's jobs over parts of the store; let progress wait

Ruled out: the rate of writes (it is not near its limit). Change: the rows of a job lie in one of 8 parts of its queue, transactions are filled by their real size, and writes that somebody waits for go first; a new owner reads parts side by side.

--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -95,7 +95,7 @@
 	if state := m.stateOfOwner(ctx, q.Pool, id); state != "" {
 		return state, nil
 	}
-	row, found, err := readRow(ctx, m.store, table.Key{Table: jobTable, Part: string(q.Name), Name: string(id)})
+	row, found, err := readRow(ctx, m.store, jobKey(jobTable, q.Name, id))
 	if err != nil {
 		return "", err
 	}
@@ -165,7 +165,7 @@
 
 // tryCancel reports whether the cancellation has a final result.
 func (m *Manager) tryCancel(ctx context.Context, q *catalog.Queue, id job.ID) (bool, error) {
-	key := table.Key{Table: jobTable, Part: string(q.Name), Name: string(id)}
+	key := jobKey(jobTable, q.Name, id)
 	row, found, err := readRow(ctx, m.store, key)
 	if err != nil {
 		return false, err
@@ -176,7 +176,7 @@
 	if err != nil {
 		return true, err
 	}
-	tx := table.Tx{Part: string(q.Name)}
+	tx := table.Tx{Part: key.Part}
 	tx.Expect(key, row.Version)
 	tx.Put(outcomeKey, value)
 	if !found {
--- a/manager/load.go
+++ b/manager/load.go
@@ -2,14 +2,20 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"bronzestair/core/job"
 	"bronzestair/core/maintenance"
 	"bronzestair/core/pool"
 	"bronzestair/core/table"
 )
 
+// loadReaders is how many parts a new owner reads at a time.
+const loadReaders = 8
+
 // listLives tells a new owner which runners are gone, until it has heard of all.
 func (o *poolOwner) listLives(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -75,21 +81,29 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	var mu sync.Mutex
+	group, reading := errgroup.WithContext(ctx)
+	group.SetLimit(loadReaders)
 	for _, part := range parts {
-		progress, _, err := o.m.readPart(ctx, progressTable, part)
-		if err != nil {
-			return nil, 0, err
-		}
-		rows, _, err := o.m.readPart(ctx, jobTable, part)
-		if err != nil {
-			return nil, 0, err
-		}
-		for _, row := range rows {
-			present[job.ID(row.Name)] = true
-		}
-		o.handOver(rows, progress)
+		group.Go(func() error {
+			progress, _, err := o.m.readPart(reading, progressTable, part)
+			if err != nil {
+				return err
+			}
+			rows, _, err := o.m.readPart(reading, jobTable, part)
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			for _, row := range rows {
+				present[job.ID(row.Name)] = true
+			}
+			mu.Unlock()
+			o.handOver(rows, progress)
+			return nil
+		})
 	}
-	return present, first, nil
+	return present, first, group.Wait()
 }
 
 // handOver gives stored jobs to the reducer.
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -32,7 +32,8 @@
 	expireInterval = 10 * time.Second
 )
 
-// The tables of jobs. Rows are named by job and lie in their queue's part.
+// The tables of jobs. Rows are named by job and lie in one of the parts of their
+// queue.
 const (
 	jobTable      = "jobs"
 	progressTable = "progress"
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// writeEntries is the most entries that one write adds to a transaction.
-	writeEntries = 5
 	// refusedTries is how often a write that the store refused is sent again,
 	// while a caller waits for it.
 	refusedTries = 3
@@ -56,9 +54,10 @@
 	err    error
 }
 
-func (w *write) key(name string) table.Key {
-	return table.Key{Table: name, Part: string(w.queue), Name: string(w.id)}
-}
+func (w *write) key(name string) table.Key { return jobKey(name, w.queue, w.id) }
+
+// progressOnly reports whether nobody waits for the write.
+func (w *write) progressOnly() bool { return w.accepted == nil && !w.finished }
 
 // add puts the write's part into a transaction. The job's row stands for the
 // job not having ended; the progress row tells owners apart.
@@ -157,32 +156,33 @@
 	return w, err
 }
 
-// run collects writes by queue while a transaction of the queue is under way.
+// run collects writes by part while a transaction of the part is under way.
 func (w *writer) run(ctx context.Context) {
 	defer close(w.ended)
-	pending := map[job.QueueName][]*write{}
-	busy := map[job.QueueName]bool{}
-	finished := make(chan job.QueueName)
+	pending := map[string][]*write{}
+	busy := map[string]bool{}
+	finished := make(chan string)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case next := <-w.queues:
-			pending[next.queue] = append(pending[next.queue], next)
-		case queue := <-finished:
-			busy[queue] = false
+			part := jobPart(next.queue, next.id)
+			pending[part] = append(pending[part], next)
+		case part := <-finished:
+			busy[part] = false
 		}
-		for queue, writes := range pending {
-			if busy[queue] || len(writes) == 0 {
+		for part, writes := range pending {
+			if busy[part] || len(writes) == 0 {
 				continue
 			}
 			batch, rest := cut(writes)
-			pending[queue] = rest
-			busy[queue] = true
+			pending[part] = rest
+			busy[part] = true
 			go func() {
 				w.commit(ctx, batch)
 				select {
-				case finished <- queue:
+				case finished <- part:
 				case <-ctx.Done():
 				}
 			}()
@@ -190,14 +190,25 @@
 	}
 }
 
-// cut returns the first writes that fit into a transaction, and the others.
+// cut returns the first writes that fit into a transaction, and the others. Those
+// that somebody waits for go first: a slow store takes less than a turn brings.
 func cut(writes []*write) (batch, rest []*write) {
+	slices.SortStableFunc(writes, func(a, b *write) int {
+		switch {
+		case a.progressOnly() == b.progressOnly():
+			return 0
+		case b.progressOnly():
+			return -1
+		default:
+			return 1
+		}
+	})
 	var tx table.Tx
 	for i, next := range writes {
-		if tx.Entries()+writeEntries > table.MaxTxEntries {
+		next.add(&tx)
+		if tx.Entries() > table.MaxTxEntries {
 			return writes[:i], writes[i:]
 		}
-		next.add(&tx)
 	}
 	return writes, nil
 }
@@ -209,7 +220,7 @@
 	})
 	pause := newBackoff()
 	for try := 0; len(batch) > 0 && ctx.Err() == nil; try++ {
-		tx := table.Tx{Part: string(batch[0].queue)}
+		tx := table.Tx{Part: jobPart(batch[0].queue, batch[0].id)}
 		for _, next := range batch {
 			next.add(&tx)
 		}
@@ -318,7 +329,7 @@
 
 // readOutcome returns the stored outcome of a job.
 func readOutcome(ctx context.Context, store Store, queue job.QueueName, id job.ID) (job.Outcome, bool, error) {
-	row, found, err := readRow(ctx, store, table.Key{Table: outcomeTable, Part: string(queue), Name: string(id)})
+	row, found, err := readRow(ctx, store, jobKey(outcomeTable, queue, id))
 	if err != nil || !found {
 		return job.Outcome{}, false, err
 	}
--- a/manager/writer_test.go
+++ b/manager/writer_test.go
@@ -31,6 +31,8 @@
 	// fault returns an error for a transaction, and whether it takes effect all
 	// the same.
 	fault func(n int) (err error, applied bool)
+	// onCommit is called for each transaction before it takes effect.
+	onCommit func(*table.Tx)
 }
 
 func newMemory() *memory { return &memory{rows: map[table.Key]table.Row{}} }
@@ -38,6 +40,9 @@
 func (m *memory) Answered() time.Time { return time.Now() }
 
 func (m *memory) Commit(_ context.Context, tx *table.Tx) (table.Version, error) {
+	if m.onCommit != nil {
+		m.onCommit(tx)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.commits++
