Let small owners keep to what they can order, and yield to larger entries

After an outage or restarts entries of 0.192 cores own pools and lack processor time: answers of runners were read after their timeout, counted as none, and tasks that were done ran again; leases were extended too late. Ruled out: the runners' answers being late (their lists named the ends in time). Change: starts without an answer are bounded by processor time, the rest waits; an entry with enough of it that owns nothing asks a small holder for a pool, which gives it up.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -50,50 +50,6 @@
 	shareDelay = 1200 * time.Millisecond
 )
 
-// Claim is the stored form of an ownership.
-type Claim struct {
-	Holder string `json:"holder"`
-	// Address is where the holder answers its peers.
-	Address string `json:"address"`
-	// Incarnation tells lives of one holder apart.
-	Incarnation string `json:"incarnation"`
-	// Epoch counts the ownerships of the shard.
-	Epoch int `json:"epoch"`
-	// Released is true if the holder has given the shard up.
-	Released bool `json:"released,omitempty"`
-	// Renewed changes with each renewal.
-	Renewed uint64 `json:"renewed,omitempty"`
-}
-
-// Row is a claim as stored.
-type Row struct {
-	Shard   Shard
-	Claim   Claim
-	Version Version
-}
-
-// Write is a claim to be stored if its row still has the version Expect.
-type Write struct {
-	Shard  Shard
-	Expect Version
-	Claim  Claim
-	// Begins is true for a new ownership, false for a renewal.
-	Begins bool
-	// Former is true if the shard belonged to a former life of this process.
-	Former bool
-}
-
-// Tenure is an ownership that this process has.
-type Tenure struct {
-	Shard Shard
-	Epoch int
-	// Fence is the version of the row that began the ownership.
-	Fence Version
-	// Previous is the holder before, if there was one.
-	Previous string
-	Since    time.Time
-}
-
 // own is the state of a shard that this process owns.
 type own struct {
 	tenure  Tenure
@@ -108,6 +64,8 @@
 type seen struct {
 	row     Row
 	changed time.Time
+	// since is when this process first saw the holder's epoch.
+	since time.Time
 }
 
 // Tracker follows the claims of all shards for one process. Use New.
@@ -157,6 +115,9 @@
 			t.seen[row.Shard] = s
 		}
 		if row.Version > s.row.Version {
+			if s.since.IsZero() || row.Claim.Epoch != s.row.Claim.Epoch {
+				s.since = now
+			}
 			s.row, s.changed = row, now
 		}
 		if t.note(row) {
@@ -249,7 +210,7 @@
 
 func (t *Tracker) takeOver(shard Shard) Write {
 	w := Write{Shard: shard, Begins: true, Claim: Claim{
-		Holder: t.holder, Address: t.address, Incarnation: t.incarnation, Epoch: 1,
+		Holder: t.holder, Address: t.address, Incarnation: t.incarnation, Epoch: 1, Share: t.Share,
 	}}
 	if s := t.seen[shard]; s != nil {
 		w.Expect = s.row.Version
@@ -288,6 +249,45 @@
 	}
 }
 
+// settleTime is how long a shard stays with its holder before a larger process
+// asks for it: each change of owner costs the pool a second.
+const settleTime = 4 * time.Second
+
+// Request returns a shard that this process should have rather than its holder,
+// and the holder's address. Only processes that own nothing ask, and only those
+// that have enough processor time of ones that have not.
+func (t *Tracker) Request(now time.Time, shards []Shard) (Shard, string) {
+	if t.Passive || len(t.own) > 0 || t.sizeDelay() > 0 {
+		return "", ""
+	}
+	best, address := Shard(""), ""
+	for _, shard := range shards {
+		s := t.seen[shard]
+		if s == nil || s.row.Claim.Released || now.Sub(s.since) < settleTime {
+			continue
+		}
+		share := s.row.Claim.Share
+		if share == 0 || share >= fullShare || t.Share < 2*share {
+			continue
+		}
+		if best == "" || t.preference(shard) < t.preference(best) {
+			best, address = shard, s.row.Claim.Address
+		}
+	}
+	return best, address
+}
+
+// Release returns the write that gives up one shard, if this process owns it.
+func (t *Tracker) Release(shard Shard) (Write, bool) {
+	o := t.own[shard]
+	if o == nil {
+		return Write{}, false
+	}
+	claim := o.claim
+	claim.Released = true
+	return Write{Shard: shard, Expect: o.version, Claim: claim}, true
+}
+
 // Drop ends an ownership of this process.
 func (t *Tracker) Drop(shard Shard) { delete(t.own, shard) }
 
@@ -332,10 +332,9 @@
 // Releases returns the writes that give up all shards of this process.
 func (t *Tracker) Releases() []Write {
 	var writes []Write
-	for shard, o := range t.own {
-		claim := o.claim
-		claim.Released = true
-		writes = append(writes, Write{Shard: shard, Expect: o.version, Claim: claim})
+	for shard := range t.own {
+		w, _ := t.Release(shard)
+		writes = append(writes, w)
 	}
 	return writes
 }
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// TestLargeProcessAsksSmallHolder replays the grown Skywatch fleet after an outage:
+// small entries own the pools, large ones nothing.
+func TestLargeProcessAsksSmallHolder(t *testing.T) {
+	held := row("entry-9", 9)
+	held.Claim.Share, held.Claim.Address = 0.192, "b:9"
+	asks := func(share float64, owns bool, after time.Duration) string {
+		tracker := New("entry-1", "a:1", "y", start)
+		tracker.Share = share
+		tracker.Observe(start, []Row{held})
+		if owns {
+			tracker.Written(start, Write{Shard: "pool/other", Begins: true, Claim: Claim{Epoch: 1}}, 12)
+		}
+		_, address := tracker.Request(start.Add(after), []Shard{shard})
+		return address
+	}
+	want(t, "large process", asks(0.8, false, 2*settleTime), "b:9")
+	want(t, "large process, at once", asks(0.8, false, 0), "")
+	want(t, "large process with a shard", asks(0.8, true, 2*settleTime), "")
+	want(t, "small process", asks(0.192, false, 2*settleTime), "")
+	want(t, "process of twice the share", asks(0.4, false, 2*settleTime), "b:9")
+}
+
 func TestYoungestProcessTakesOverFirst(t *testing.T) {
 	free := row("entry-9", 9)
 	free.Claim.Released = true
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -29,7 +29,7 @@
 	usable := p.usableRunners(now)
 	widest := widestRoom(usable)
 	for _, j := range candidates {
-		if len(usable) == 0 {
+		if len(usable) == 0 || p.behind() {
 			return
 		}
 		for _, o := range j.occurrences {
@@ -48,6 +48,11 @@
 	}
 }
 
+// behind reports whether the owner has to catch up with the answers to its starts.
+// It answers a turn that brings more than a small entry can order: an answer that
+// is read too late counts as none, and its task runs twice.
+func (p *Pool) behind() bool { return p.startsInFlight >= p.options.StartsInFlight }
+
 // widestRoom returns the most that any of the runners has left of each resource.
 func widestRoom(runners []*runnerState) job.Resources {
 	var widest job.Resources
@@ -93,6 +98,9 @@
 			}
 			return
 		}
+		if p.behind() {
+			return
+		}
 		p.start(now, t, r, t.nextRun())
 		placed.add(now, t, r)
 	}
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -24,6 +24,7 @@
 	t.orders++
 	window := p.options.StartWindow
 	t.voidAfter = now.Add(leaseBound(window))
+	p.startsInFlight++
 	p.emit(&StartTask{
 		Runner: r.Runner, Task: t.id, Run: t.run, Payload: t.job.record.Spec.Payload,
 		Saved: t.saved, Ticket: p.ticket(t.id.StepKey(), r.ID, now),
@@ -56,6 +57,10 @@
 
 // apply implements Event.
 func (e *TaskStarted) apply(p *Pool, now time.Time) {
+	if p.behind() {
+		p.changed = true // what had to wait may go on
+	}
+	p.startsInFlight--
 	r := p.runners[e.Runner]
 	if r == nil {
 		return
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -46,6 +46,8 @@
 	StartWindow time.Duration
 	// HoldRate bounds the calls a second that ask runners what has ended.
 	HoldRate int
+	// StartsInFlight bounds the starts that wait for their answer.
+	StartsInFlight int
 }
 
 // Defaults of the options.
@@ -56,6 +58,8 @@
 	DefaultStartWindow = 2 * time.Second
 	// DefaultHoldRate takes an owner less than half a core.
 	DefaultHoldRate = 2000
+	// DefaultStartsInFlight is far above what an owner that keeps up has, some 10.
+	DefaultStartsInFlight = 400
 )
 
 func (o *Options) setDefaults() {
@@ -64,6 +68,9 @@
 	if o.HoldRate <= 0 {
 		o.HoldRate = DefaultHoldRate
 	}
+	if o.StartsInFlight <= 0 {
+		o.StartsInFlight = DefaultStartsInFlight
+	}
 	o.StartWindow = min(o.StartWindow, o.Lease)
 }
 
@@ -116,6 +123,8 @@
 	planned time.Time
 	ranked  []*jobState
 	deposed bool
+	// startsInFlight counts the starts without an answer yet.
+	startsInFlight int
 	// changed is true if a task may have become placeable since the last dispatch.
 	changed bool
 	effects []Effect
--- a/core/pool/rate_test.go
+++ b/core/pool/rate_test.go
@@ -56,3 +56,19 @@
 	}
 	want(t, "jobs started", got, []string{string(id(1)), string(id(2)), string(id(3))})
 }
+
+// TestOwnerThatIsBehindStartsNoMore replays a small entry that owns a large pool
+// (grown Skywatch, store.toml, seed 813597456375): answers that it read too late
+// counted as none, and tasks that were done ran again.
+func TestOwnerThatIsBehindStartsNoMore(t *testing.T) {
+	r := newRig(t, Options{StartsInFlight: 3})
+	r.runners("r1")
+	r.held("r1", nil, nil)
+	step := oneTask()
+	step.Count = 5
+	first := of[*StartTask](r.store(id(1), false, step))
+	want(t, "starts without an answer", len(first), 3)
+	want(t, "more starts while they wait", len(of[*StartTask](r.pass(100*time.Millisecond))), 0)
+	next := r.send(&TaskStarted{Runner: "r1", Task: first[0].Task, Run: first[0].Run, Call: Done})
+	want(t, "starts after an answer", len(of[*StartTask](next)), 1)
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -64,6 +64,8 @@
 	StoreAge() time.Duration
 	// ClaimsChanged tells that shards were given up.
 	ClaimsChanged()
+	// Yield gives a shard up to a larger process that asks for it.
+	Yield(ctx context.Context, shard string) error
 	// RelayStore passes a call on to the store, and not to other peers.
 	RelayStore() Store
 }
@@ -225,6 +227,18 @@
 	})
 }
 
+// Yield asks a peer to give a shard up. ErrNotOwner means that it has not got it.
+func (p *Peers) Yield(ctx context.Context, address, shard string) error {
+	err := p.call(address, func(c ownerpb.OwnerClient) error {
+		_, err := c.Yield(ctx, &ownerpb.YieldRequest{Shard: shard})
+		return err
+	})
+	if status.Code(err) == codes.FailedPrecondition {
+		err = ErrNotOwner
+	}
+	return err
+}
+
 // StoreAges returns how long ago the store answered each of the peers that tell.
 func (p *Peers) StoreAges(ctx context.Context, addresses []string) map[string]time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, ageTimeout)
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -74,6 +74,11 @@
 	return &ownerpb.ClaimsChangedReply{}, nil
 }
 
+// Yield implements ownerpb.OwnerServer.
+func (s *server) Yield(ctx context.Context, in *ownerpb.YieldRequest) (*ownerpb.YieldReply, error) {
+	return &ownerpb.YieldReply{}, statusOf(s.handler.Yield(ctx, in.GetShard()))
+}
+
 func encodeReport(r *pool.Report) *ownerpb.SyncReply {
 	reply := &ownerpb.SyncReply{
 		RunningCpu: int64(r.Running), ReadyCpu: int64(r.Ready), Recovered: r.Recovered,
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -54,6 +54,7 @@
 	for n := 0; ; n++ {
 		if n%claimReads == 0 {
 			m.readClaims(ctx)
+			m.requestShard(ctx)
 		}
 		m.writeClaims(ctx)
 		m.extendInOutage(ctx)
@@ -141,11 +142,20 @@
 
 // shards returns what there is to own.
 func (m *Manager) shards() []ownership.Shard {
+	pools := m.poolShards()
+	if pools == nil {
+		return nil
+	}
+	return append([]ownership.Shard{fleetShard}, pools...)
+}
+
+// poolShards returns the shards of pools, or nil without a configuration.
+func (m *Manager) poolShards() []ownership.Shard {
 	c := m.catalog.Get()
 	if c == nil {
 		return nil
 	}
-	shards := []ownership.Shard{fleetShard}
+	shards := make([]ownership.Shard, 0, len(c.Pools))
 	for _, p := range c.Pools {
 		shards = append(shards, poolShard(p.Name))
 	}
