--- /dev/null
+++ b/manager/away_test.go
@@ -0,0 +1,47 @@
+package manager
+
+import (
+	"errors"
+	"log/slog"
+	"testing"
+
+	"bronzestair/core/table"
+)
+
+// TestStoreThatIsAwayRefusesAtOnce replays an outage of the store (grown Skywatch
+// trouble-3): callers were held until their deadline and told to ask again.
+func TestStoreThatIsAwayRefusesAtOnce(t *testing.T) {
+	store := newMemory()
+	store.away.Store(true)
+	w := newWriter(store, &recorder{}, slog.New(slog.DiscardHandler))
+	record, value := testRecord()
+	result, err := w.accept(t.Context(), record, value) // nobody runs the writer: a wait would not end
+	want(t, "result", result, NotStored)
+	want(t, "away", errors.Is(err, errStoreAway), true)
+}
+
+// TestOutageEndsTheWait checks what callers are told whose jobs wait as the store
+// goes away: those that were not sent are surely not stored, the others may be.
+func TestOutageEndsTheWait(t *testing.T) {
+	store := newMemory()
+	sent := make(chan struct{})
+	store.onCommit = func(*table.Tx) {
+		close(sent)
+		<-t.Context().Done()
+	}
+	w := newWriter(store, &recorder{}, slog.New(slog.DiscardHandler))
+	go w.run(t.Context())
+	results := make(chan Acceptance, 2)
+	accept := func() {
+		record, value := testRecord()
+		result, _ := w.accept(t.Context(), record, value)
+		results <- result
+	}
+	go accept()
+	<-sent
+	go accept() // the same part: it waits for the first
+	store.away.Store(true)
+	got := map[Acceptance]int{<-results: 1}
+	got[<-results]++
+	want(t, "results", got, map[Acceptance]int{NotStored: 1, MayBeStored: 1})
+}
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -49,7 +49,7 @@
 	case err == nil:
 		return result, errRefusedByOwner
 	}
-	if result == MayBeStored && ctx.Err() != nil {
+	if result == MayBeStored && (ctx.Err() != nil || m.store.Away()) {
 		return result, err
 	}
 	direct, err := m.direct.accept(ctx, record, value)
--- a/manager/meter.go
+++ b/manager/meter.go
@@ -10,9 +10,10 @@
 
 // Reasons why a job is not stored, or not known to be.
 var (
-	errNoOwner  = errors.New("the pool has no owner for now")
-	errNotSent  = errors.New("the write was not sent in time")
-	errNoAnswer = errors.New("the write has no answer in time")
+	errNoOwner   = errors.New("the pool has no owner for now")
+	errNotSent   = errors.New("the write was not sent in time")
+	errStoreAway = errors.New("the store does not answer")
+	errNoAnswer  = errors.New("the write has no answer in time")
 	// errRefusedByOwner stands for a reason that the owner has logged.
 	errRefusedByOwner = errors.New("the pool's owner could not store the job")
 )
--- a/manager/relay.go
+++ b/manager/relay.go
@@ -66,6 +66,9 @@
 	return r.failures > 1 && time.Since(last) > directOutage
 }
 
+// Away reports whether the store answers on no way.
+func (r *relay) Away() bool { return r.out() && time.Since(r.Answered()) > directOutage }
+
 // note counts the failures of the direct way.
 func (r *relay) note(err error) {
 	r.mu.Lock()
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
@@ -18,6 +19,8 @@
 	// refusedTries is how often a write that the store refused is sent again,
 	// while a caller waits for it.
 	refusedTries = 3
+	// awayCheck is how often those that wait look whether the store has gone away.
+	awayCheck = 100 * time.Millisecond
 	// writeTries is how often a write whose answer was lost is sent again.
 	writeTries = 20
 )
@@ -86,9 +89,16 @@
 	submit(pool.Event)
 }
 
+// jobStore is the store as a writer sees it.
+type jobStore interface {
+	Store
+	// Away reports whether the store answers nobody for now.
+	Away() bool
+}
+
 // writer stores the progress of a pool's jobs, many with one transaction.
 type writer struct {
-	store  Store
+	store  jobStore
 	sink   eventSink
 	logger *slog.Logger
 	queues chan *write
@@ -96,7 +106,7 @@
 	ended chan struct{}
 }
 
-func newWriter(store Store, sink eventSink, logger *slog.Logger) *writer {
+func newWriter(store jobStore, sink eventSink, logger *slog.Logger) *writer {
 	return &writer{store: store, sink: sink, logger: logger, queues: make(chan *write, inboxSize), ended: make(chan struct{})}
 }
 
@@ -113,8 +123,13 @@
 	}
 }
 
-// accept stores a new job and returns what became of it.
+// accept stores a new job and returns what became of it. It answers an outage of
+// the store by refusing at once what was not sent: waiting for the store's return
+// would only use up the caller's time.
 func (w *writer) accept(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
+	if w.store.Away() {
+		return NotStored, errStoreAway
+	}
 	next := &write{
 		id: record.ID, queue: record.Queue, value: value,
 		accepted: record, answered: make(chan acceptance, 1),
@@ -126,11 +141,8 @@
 	case <-ctx.Done():
 		return NotStored, errNotSent
 	}
-	select {
-	case a := <-next.answered:
+	if a, ok := w.await(ctx, next); ok {
 		return a.result, a.err
-	case <-w.ended:
-	case <-ctx.Done():
 	}
 	if next.stage.CompareAndSwap(stageWaiting, stageWithdrawn) {
 		return NotStored, errNotSent
@@ -138,6 +150,30 @@
 	return MayBeStored, errNoAnswer
 }
 
+// await returns what became of a write, or false if the wait has to end before.
+func (w *writer) await(ctx context.Context, next *write) (acceptance, bool) {
+	check := time.NewTicker(awayCheck)
+	defer check.Stop()
+	for {
+		select {
+		case a := <-next.answered:
+			return a, true
+		case <-w.ended:
+			return acceptance{}, false
+		case <-ctx.Done():
+			return acceptance{}, false
+		case <-check.C:
+			if !w.store.Away() {
+				continue
+			}
+			if next.stage.CompareAndSwap(stageWaiting, stageWithdrawn) {
+				return acceptance{NotStored, errStoreAway}, true
+			}
+			return acceptance{MayBeStored, errStoreAway}, true
+		}
+	}
+}
+
 func newWrite(effect pool.Effect) (w *write, err error) {
 	switch e := effect.(type) {
 	case *pool.SaveJob:
--- a/manager/writer_test.go
+++ b/manager/writer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	// fault returns an error for a transaction, and whether it takes effect all
 	// the same.
 	fault func(n int) (err error, applied bool)
+	// away is true while the store answers nobody.
+	away atomic.Bool
 	// onCommit is called for each transaction before it takes effect.
 	onCommit func(*table.Tx)
 }
@@ -39,6 +42,8 @@
 
 func (m *memory) Answered() time.Time { return time.Now() }
 
+func (m *memory) Away() bool { return m.away.Load() }
+
 func (m *memory) Commit(_ context.Context, tx *table.Tx) (table.Version, error) {
 	if m.onCommit != nil {
 		m.onCommit(tx)
--- a/manager/yield.go
+++ b/manager/yield.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"bronzestair/core/ownership"
@@ -16,9 +15,6 @@
 // yieldTimeout leaves the holder time for one write to a store that is not slow.
 const yieldTimeout = 600 * time.Millisecond
 
-// errStoreAway says that a shard is not given up now: nobody could take it over.
-var errStoreAway = errors.New("the store has not answered lately")
-
 // requestShard asks for a shard of a small entry if this one should have it.
 func (m *Manager) requestShard(ctx context.Context) {
 	if m.StoreAge() > outageAge {
