--- a/cmd/bronzestair/load.go
+++ b/cmd/bronzestair/load.go
@@ -47,7 +47,8 @@
 	failed  int
 }
 
-// loadResult is what a load measured.
+// loadResult is what a load measured. Rate and latency are of the requests that
+// were served.
 type loadResult struct {
 	Address           string  `json:"address"`
 	Requests          int     `json:"requests"`
@@ -111,6 +112,11 @@
 			t.run(ctx, min(loadSlice, f.duration))
 		}
 	}
+	for _, t := range targets {
+		if r := t.measured(); r.Requests == r.Failed {
+			return merry.Errorf("%v served none of %d requests", t.address, r.Requests)
+		}
+	}
 	return compareTargets(targets).print(f.asJSON)
 }
 
@@ -122,11 +128,16 @@
 		callers: make([]loadCaller, connections),
 	}
 	for i := range t.callers {
-		t.callers[i].latency = hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+		t.callers[i].latency = newLatency()
 	}
 	return t
 }
 
+// newLatency returns an empty histogram of latencies in microseconds.
+func newLatency() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+}
+
 // run keeps the target under load from all callers for a while.
 func (t *loadTarget) run(ctx context.Context, d time.Duration) {
 	start := time.Now()
@@ -151,8 +162,13 @@
 	c.sent++
 	if !t.send(ctx, key) {
 		c.failed++
+		return
+	}
+	// Latencies beyond the histogram's range count as its largest.
+	took := min(time.Since(began).Microseconds(), maxLatencyMicros)
+	if err := c.latency.RecordValue(took); err != nil {
+		panic(err) // bounded above
 	}
-	_ = c.latency.RecordValue(time.Since(began).Microseconds())
 }
 
 // send sends one request and reports whether it was answered well.
@@ -177,14 +193,14 @@
 }
 
 func (t *loadTarget) measured() loadResult {
-	all := hdrhistogram.New(1, maxLatencyMicros, latencyDigits)
+	all := newLatency()
 	r := loadResult{Address: t.address.String()}
 	for _, c := range t.callers {
 		all.Merge(c.latency)
 		r.Requests += c.sent
 		r.Failed += c.failed
 	}
-	r.RequestsPerSecond = float64(r.Requests) / max(t.seconds, 1e-9)
+	r.RequestsPerSecond = float64(r.Requests-r.Failed) / max(t.seconds, 1e-9)
 	r.P50Micros = all.ValueAtQuantile(50)
 	r.P99Micros = all.ValueAtQuantile(99)
 	return r
