Let tasks that wait go before forecasts; take trends over two seconds

Ruled out: refused or late moves (none was ordered), instances in upkeep (3 at a time). Change: what pools need for tasks that run or wait is met before what they expect, also from pools that expect more; the trend is taken over two seconds.

--- a/core/maintenance/maintenance_test.go
+++ b/core/maintenance/maintenance_test.go
@@ -168,31 +168,51 @@
 	return out
 }
 
-// TestPoolKeepsInstancesForSpreadStep replays a pool with a step of eight tasks
-// that must lie apart, beside one in its turn.
-func TestPoolKeepsInstancesForSpreadStep(t *testing.T) {
+// movedToTransport lets a fleet of 12 idle instances of booking and an empty pool
+// report the same load for two seconds, and counts the moves.
+func movedToTransport(t *testing.T, booking, transport pool.Report) int {
+	t.Helper()
 	f := newFleet(t, 12)
 	f.send(&PoolsChanged{Pools: []PoolSettings{{Name: "booking"}, {Name: "transport"}}})
 	f.list()
+	booking.Pool, booking.Recovered = "booking", true
+	transport.Pool, transport.Recovered = "transport", true
+	for _, i := range f.instances {
+		booking.Runners = append(booking.Runners, pool.RunnerReport{Runner: i.Runner, Capacity: i.Capacity, Cordoned: true, Usable: true, Known: true})
+	}
 	for range 8 {
 		f.now = f.now.Add(250 * time.Millisecond)
-		report := pool.Report{Pool: "booking", Recovered: true, Spread: 8}
-		for _, i := range f.instances {
-			report.Runners = append(report.Runners, pool.RunnerReport{Runner: i.Runner, Capacity: i.Capacity, Cordoned: true, Usable: true, Known: true})
-		}
-		f.send(&Reported{Report: report})
-		f.send(&Reported{Report: pool.Report{Pool: "transport", Recovered: true, Ready: 400_000}})
+		f.send(&Reported{Report: booking})
+		f.send(&Reported{Report: transport})
 		for _, m := range moves(f.send(Ticked{})) {
 			f.send(&Ordered{Instance: InstanceID(m[:2]), Verdict: Accepted})
 		}
 	}
-	gone := 0
+	moved := 0
 	for _, o := range f.planner.orders {
 		if o.target == "transport" {
-			gone++
+			moved++
 		}
 	}
-	want(t, "instances moved", gone, 12-8-spreadReserve)
+	return moved
+}
+
+// TestPoolKeepsInstancesForSpreadStep replays a pool with a step of eight tasks
+// that must lie apart, beside one in its turn.
+func TestPoolKeepsInstancesForSpreadStep(t *testing.T) {
+	moved := movedToTransport(t, pool.Report{Spread: 8}, pool.Report{Ready: 400_000})
+	want(t, "instances moved", moved, 12-8-spreadReserve)
+}
+
+// TestWaitingTasksGoBeforeForecasts replays Wrekin's incident 7ae0: a pool that
+// expected more than the fleet has kept 36 instances, most of them idle, while
+// tasks of another pool waited.
+func TestWaitingTasksGoBeforeForecasts(t *testing.T) {
+	const waiting = 6 // instances' worth of tasks
+	moved := movedToTransport(t, pool.Report{Arriving: 1_000_000}, pool.Report{Ready: waiting * 16_000})
+	if moved < waiting {
+		t.Errorf("%d instances move to the pool whose tasks wait, want %d", moved, waiting)
+	}
 }
 
 func TestInstanceIsNotEmptyForAnOwnerThatHasNotHeardIt(t *testing.T) {
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -44,10 +44,15 @@
 type balance struct {
 	name       job.PoolName
 	need, have int
+	// firm is the part of the need that is for tasks that run or wait already.
+	firm int
 }
 
 func (b balance) deficit() int { return b.need - b.have }
 
+// firmDeficit is what lacks for tasks that run or wait already.
+func (b balance) firmDeficit() int { return b.firm - b.have }
+
 // demand remembers the highest demand of the last while.
 type demand struct {
 	need int
@@ -58,19 +63,27 @@
 func (p *Planner) planMoves(now time.Time) {
 	balances := p.balances(now)
 	p.dropMoveCordons(balances)
+	// Tasks that wait go before a forecast: a pool that expects more than the fleet
+	// has must not keep what others lack.
+	p.fill(now, balances, balance.firmDeficit)
+	p.fill(now, balances, balance.deficit)
+	p.spread(now, balances)
+	p.orderMoves(now)
+}
+
+// fill cordons instances for the pools with a deficit, the largest first, and
+// takes them from those that have a surplus by the same measure.
+func (p *Planner) fill(now time.Time, balances []balance, deficit func(balance) int) {
 	slices.SortFunc(balances, func(a, b balance) int {
-		return cmp.Or(cmp.Compare(b.deficit(), a.deficit()), cmp.Compare(a.name, b.name))
+		return cmp.Or(cmp.Compare(deficit(b), deficit(a)), cmp.Compare(a.name, b.name))
 	})
 	for _, b := range balances {
-		missing := b.deficit() - p.cordonedFor(b.name)
-		for ; missing > 0; missing-- {
-			if !p.cordonOneFor(now, b.name, balances) {
+		for missing := deficit(b) - p.cordonedFor(b.name); missing > 0; missing-- {
+			if !p.cordonOneFor(now, b.name, balances, deficit) {
 				break
 			}
 		}
 	}
-	p.spread(now, balances)
-	p.orderMoves(now)
 }
 
 // spread fills idle pools up to the base and moves what is left to the spare.
@@ -144,24 +157,34 @@
 		if report.at.IsZero() || now.Sub(report.at) > reportAge || !report.Recovered {
 			continue
 		}
-		out = append(out, balance{name: name, need: p.need(now, &report), have: p.have(name)})
+		b := p.need(now, &report)
+		b.have = p.have(name)
+		out = append(out, b)
 	}
 	return out
 }
 
-// need returns how many instances a pool asks for.
-func (p *Planner) need(now time.Time, report *poolReport) int {
-	need := max(keepInstances, len(p.instances)/keepShare)
+// need returns how many instances a pool asks for; it leaves out what it has.
+func (p *Planner) need(now time.Time, report *poolReport) balance {
+	least := max(keepInstances, len(p.instances)/keepShare)
+	present, expected := 0, 0
 	capacity := p.typicalCapacity()
 	if capacity.CPU > 0 && capacity.Memory > 0 {
-		asked := max(report.Running+report.Ready, job.Milli(headroom*float64(report.Arriving))+job.Milli(float64(report.Backlog)/backlogTime.Seconds()))
-		cpu := (asked + capacity.CPU - 1) / capacity.CPU
 		memory := (report.RunningMemory + report.ReadyMemory + capacity.Memory - 1) / capacity.Memory
-		need = max(need, int(cpu)+spareInstances, int(memory)+spareInstances)
+		least = max(least, int(memory)+spareInstances)
+		present = int((report.Running + report.Ready + capacity.CPU - 1) / capacity.CPU)
+		asked := job.Milli(headroom*float64(report.Arriving)) + job.Milli(float64(report.Backlog)/backlogTime.Seconds())
+		expected = int((asked + capacity.CPU - 1) / capacity.CPU)
 	}
 	if report.Spread > 0 {
-		need = max(need, report.Spread+spreadReserve)
+		least = max(least, report.Spread+spreadReserve)
 	}
+	firm := max(least, present+spareInstances)
+	return balance{name: report.Pool, firm: firm, need: p.remember(now, report, max(firm, expected+spareInstances))}
+}
+
+// remember returns a pool's need, or the higher one of a moment ago.
+func (p *Planner) remember(now time.Time, report *poolReport, need int) int {
 	last := p.demands[report.Pool]
 	if need >= last.need || now.Sub(last.at) > demandMemory {
 		if need != last.need {
@@ -240,10 +263,10 @@
 
 // cordonOneFor cordons the instance that is given up most easily, and reports
 // whether there is one.
-func (p *Planner) cordonOneFor(now time.Time, target job.PoolName, balances []balance) bool {
+func (p *Planner) cordonOneFor(now time.Time, target job.PoolName, balances []balance, deficit func(balance) int) bool {
 	excess := map[job.PoolName]int{}
 	for _, b := range balances {
-		excess[b.name] = -b.deficit()
+		excess[b.name] = -deficit(b)
 	}
 	for id, c := range p.cordons {
 		if c.target != "" && p.orders[id] == nil {
--- a/core/pool/arrivals.go
+++ b/core/pool/arrivals.go
@@ -11,7 +11,7 @@
 const (
 	// arrivalWindow is over how long the rate of arriving jobs is taken: long enough
 	// for a few jobs in a turn, short against the turn's seconds.
-	arrivalWindow = 1200 * time.Millisecond
+	arrivalWindow = 2 * time.Second
 	// arrivalAhead is how far ahead the rate is told: an instance that is asked for
 	// now takes tasks after about this time.
 	arrivalAhead = 1800 * time.Millisecond
@@ -86,5 +86,5 @@
 	q.seen = q.seen[old:]
 	mean := (former + latter) / arrivalWindow.Seconds()
 	rise := max(0, latter-former-math.Sqrt(latter+former)) / half.Seconds() / half.Seconds()
-	return max(mean, latter/half.Seconds()+rise*(half/2+arrivalAhead).Seconds())
+	return mean + rise*(half+arrivalAhead).Seconds()
 }
