--- a/core/pool/arrivals.go
+++ b/core/pool/arrivals.go
@@ -60,11 +60,11 @@
 // rate returns the work per time that is expected once instances that are asked
 // for now take tasks.
 func (a *arrivals) rate(now time.Time) job.Milli {
-	sum := 0.0
+	var sum job.Milli // of whole numbers, so that the order of queues does not matter
 	for _, q := range a.queues {
-		sum += q.meanWork * q.rate(now)
+		sum += job.Milli(q.meanWork * q.rate(now))
 	}
-	return job.Milli(sum)
+	return sum
 }
 
 // rate returns the expected number of jobs a second. It answers turns that rise
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"bronzestair/core/job"
@@ -219,55 +218,6 @@
 	return o
 }
 
-// restore takes over what a former owner has stored.
-func (j *jobState) restore(progress *job.Progress) {
-	for _, o := range j.occurrences {
-		for s, step := range o.steps {
-			bitmap := job.Bitmap(progress.Done[stepKey(o.number, s)])
-			for i := range step.tasks {
-				t := &step.tasks[i]
-				if bitmap.Has(i) {
-					t.state = done
-					step.remaining--
-				}
-				if f := progress.Failed[taskKey(t.id)]; len(f) > 0 {
-					t.failed = f
-					t.run = max(t.run, slices.Max(f))
-				}
-			}
-		}
-	}
-}
-
-func stepKey(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
-
-func taskKey(id job.TaskID) string {
-	return fmt.Sprintf("%d.%d.%d", id.Occurrence, id.Step, id.Index)
-}
-
-// progress returns the stored form of what the job has reached.
-func (j *jobState) progress() *job.Progress {
-	out := &job.Progress{Done: map[string][]byte{}, Failed: map[string]job.Failures{}, Finished: j.finishedOccurrences}
-	for _, o := range j.occurrences {
-		for s, step := range o.steps {
-			var bitmap job.Bitmap
-			for i := range step.tasks {
-				t := &step.tasks[i]
-				if t.state == done {
-					bitmap.Set(i)
-				}
-				if len(t.failed) > 0 && t.state != done {
-					out.Failed[taskKey(t.id)] = slices.Clone(t.failed)
-				}
-			}
-			if len(bitmap) > 0 {
-				out.Done[stepKey(o.number, s)] = bitmap
-			}
-		}
-	}
-	return out
-}
-
 // openSteps makes the tasks ready whose earlier steps are done.
 func (p *Pool) openSteps(_ time.Time, j *jobState, o *occurrence) {
 	if j.outcome != "" {
