Never refuse a job that an earlier request may have stored

Cause: since new jobs are refused at once while the store is away, a caller that was told 504 and asked again got 503, 'never runs', although its first request may still be carried out. Found by reading. Ruled out: nothing else. Change: a writer remembers for 15 s which jobs may be stored and answers 504 for them; an owner that does so is not passed over. Conclusion: what another entry was told is known to the pool's owner only.

--- a/manager/serve.go
+++ b/manager/serve.go
@@ -23,7 +23,7 @@
 		return 0, err
 	}
 	result, err := o.writer.accept(ctx, record, value)
-	if errors.Is(err, errNotSent) || (result == NotStored && errors.Is(err, errStoreAway)) {
+	if result == NotStored && (errors.Is(err, errNotSent) || errors.Is(err, errStoreAway)) {
 		return 0, owner.ErrNotOwner
 	}
 	if err != nil {
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -102,6 +102,8 @@
 	sink   eventSink
 	logger *slog.Logger
 	queues chan *write
+	// unsettled are the jobs that may be stored.
+	unsettled unsettled
 	// ended is closed when the writer writes no more.
 	ended chan struct{}
 }
@@ -123,10 +125,16 @@
 	}
 }
 
-// accept stores a new job and returns what became of it. It answers an outage of
-// the store by refusing at once what was not sent: waiting for the store's return
-// would only use up the caller's time.
+// accept stores a new job and returns what became of it. A job that an earlier
+// request may have stored is never told to be surely not stored.
 func (w *writer) accept(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
+	result, err := w.tryAccept(ctx, record, value)
+	return w.unsettled.note(time.Now(), record.ID, result), err
+}
+
+// tryAccept answers an outage of the store by refusing at once what was not sent:
+// waiting for the store's return would only use up the caller's time.
+func (w *writer) tryAccept(ctx context.Context, record *job.Record, value []byte) (Acceptance, error) {
 	if w.store.Away() {
 		return NotStored, errStoreAway
 	}
