--- a/core/maintenance/maintenance_test.go
+++ b/core/maintenance/maintenance_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// TestWaveOfSpareInstancesKeepsMaxCount checks the bound where nothing has to be
+// emptied first, and where the wave is late.
+func TestWaveOfSpareInstancesKeepsMaxCount(t *testing.T) {
+	f := newFleet(t, 8)
+	var names []InstanceID
+	for i := range f.instances {
+		f.instances[i].Pool = "spare"
+		names = append(names, f.instances[i].ID)
+	}
+	f.list()
+	f.send(&WaveSeen{Wave: Wave{Number: 3, Instances: names, MaxCount: 3, Duration: time.Second}})
+	ordered := 0
+	for range 8 {
+		f.now = f.now.Add(250 * time.Millisecond)
+		ordered += len(upkeeps(f.send(Ticked{})))
+	}
+	want(t, "upkeeps before any is over", ordered, 3)
+}
+
 func TestWaveKeepsMaxCountAndCompletes(t *testing.T) {
 	f := newFleet(t, 6)
 	f.list()
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -273,6 +273,7 @@
 		placed[s.Runner.ID] = s.Task
 	}
 	r.started(effects)
+	want(t, "calls that extend the leases", len(of[*HoldRunner](r.pass(2*holdGap))), 2)
 	var dark, other RunnerID
 	for runner, task := range placed {
 		r.held(runner, []RunningTask{{Task: task, Run: 1, Percent: 100}}, nil)
--- a/manager/writer_test.go
+++ b/manager/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -192,6 +193,22 @@
 
 // TestWithdrawnJobIsNotWritten replays a store that is silent for longer than a
 // caller waits: a job that was told to be not stored must never be.
+// sibling returns the n-th id of a job that lies in the part of testID.
+func sibling(t *testing.T, n int) job.ID {
+	t.Helper()
+	for i := range 1000 {
+		id := job.ID(fmt.Sprintf("%016x", i))
+		if id == testID || jobPart("seats", id) != jobPart("seats", testID) {
+			continue
+		}
+		if n--; n == 0 {
+			return id
+		}
+	}
+	t.Fatal("no id lies in the same part")
+	return ""
+}
+
 func TestWithdrawnJobIsNotWritten(t *testing.T) {
 	store := newMemory()
 	entered, release := make(chan struct{}), make(chan struct{})
@@ -205,8 +222,8 @@
 	w := newWriter(store, &recorder{}, slog.New(slog.DiscardHandler))
 	go w.run(t.Context())
 	record, value := testRecord()
-	first := *record
-	first.ID = "00000000000000bb"
+	first, third := *record, *record
+	first.ID, third.ID = sibling(t, 1), sibling(t, 2)
 	go w.accept(t.Context(), &first, value)
 	<-entered
 	gone, leave := context.WithCancel(t.Context())
@@ -214,15 +231,15 @@
 	result, _ := w.accept(gone, record, value)
 	want(t, "result", result, NotStored)
 	close(release)
-	third := *record
-	third.ID = "00000000000000cc"
 	if result, err := w.accept(t.Context(), &third, value); result != Stored {
 		t.Fatalf("accept = %v, %v, want stored", result, err)
 	}
 	store.mu.Lock()
 	defer store.mu.Unlock()
-	key := table.Key{Table: jobTable, Part: "seats", Name: string(testID)}
-	if _, ok := store.rows[key]; ok {
+	if _, ok := store.rows[jobKey(jobTable, record.Queue, third.ID)]; !ok {
+		t.Error("the job after the withdrawn one is not stored")
+	}
+	if _, ok := store.rows[jobKey(jobTable, record.Queue, testID)]; ok {
 		t.Error("the withdrawn job is stored")
 	}
 }
