--- a/core/pool/arrivals.go
+++ b/core/pool/arrivals.go
@@ -12,7 +12,7 @@
 	// arrivalWindow is over how long the rate of arriving jobs is taken: long enough
 	// for a few jobs in a turn, short against the turn's seconds.
 	arrivalWindow = 2 * time.Second
-	// arrivalAhead is how far ahead the rate is told: an instance that is asked for
+	// arrivalAhead is how far ahead the rate is forecast: an instance asked for
 	// now takes tasks after about this time.
 	arrivalAhead = 1800 * time.Millisecond
 	// jobMemory is the number of jobs over which their mean work is taken.
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -34,7 +34,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
-				// Most steps of an overloaded pool fit nowhere: that is told at once.
+				// In an overloaded pool most steps fit nowhere: no need to scan its runners.
 				if step.ready == 0 || (!step.spec.Persistent && !widest.Fits(step.spec.Demand())) {
 					continue
 				}
