Keep the owner's limits in one place; name the pause between calls

Cause: read as a newcomer: the rate of calls and the bound on starts stood in pool and in manager, a method had the name of a constant, a factor had none. Change: names and constants.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -253,6 +253,9 @@
 // asks for it: each change of owner costs the pool a second.
 const settleTime = 4 * time.Second
 
+// largerFactor is how many times the holder's share makes a change of owner worth it.
+const largerFactor = 2
+
 // Request returns a shard that this process should have rather than its holder,
 // and the holder's address. Only processes that own nothing ask, and only those
 // that have enough processor time of ones that have not.
@@ -267,7 +270,7 @@
 			continue
 		}
 		share := s.row.Claim.Share
-		if share == 0 || share >= fullShare || t.Share < 2*share {
+		if share == 0 || share >= fullShare || t.Share < largerFactor*share {
 			continue
 		}
 		if best == "" || t.preference(shard) < t.preference(best) {
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -54,11 +54,11 @@
 	p.emit(h)
 }
 
-// holdGap returns the pause between two calls to a runner. It answers a turn in
+// holdPause returns the pause between two calls to a runner. It answers a turn in
 // a pool of some 100 instances: tasks end all the time, so that each call is
 // answered at once, and an owner that asked all of them at the least pause would
 // have no time left for starts.
-func (p *Pool) holdGap() time.Duration {
+func (p *Pool) holdPause() time.Duration {
 	busy := 0
 	for _, r := range p.runnerOrder {
 		if r.trials > 0 {
@@ -75,7 +75,7 @@
 		return
 	}
 	r.holding = false
-	r.holdNext = now.Add(p.holdGap())
+	r.holdNext = now.Add(p.holdPause())
 	p.noteCall(now, r, e.Call, e.Clock)
 	switch e.Call {
 	case Done:
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -83,7 +83,7 @@
 		t.state = running
 		t.confirmed, t.moved = now, now
 		t.job.begun = true
-		if next := now.Add(p.holdGap()); r.holdNext.After(next) {
+		if next := now.Add(p.holdPause()); r.holdNext.After(next) {
 			r.holdNext = next // a pause after failed calls is over
 		}
 	case e.Call == Unknown && t.orders < maxStartOrders && r.missing.IsZero():
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -56,9 +56,11 @@
 	DefaultLease = 5 * time.Second
 	// DefaultStartWindow bounds how long a lost start order blocks its task.
 	DefaultStartWindow = 2 * time.Second
-	// DefaultHoldRate takes an owner less than half a core.
+	// DefaultHoldRate is what an owner with a whole core can spend on asking; each
+	// call takes it some 0.2 ms.
 	DefaultHoldRate = 2000
-	// DefaultStartsInFlight is far above what an owner that keeps up has, some 10.
+	// DefaultStartsInFlight is far above what an owner that keeps up has, some 10;
+	// read one after the other, none waits for as long as an order's timeout.
 	DefaultStartsInFlight = 400
 )
 
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -16,12 +16,6 @@
 	inboxSize = 4096
 	// maxBatch bounds the events between two answers to queries.
 	maxBatch = 256
-	// holdRatePerCore is how many calls a second an owner may spend on asking
-	// runners; each takes it some 0.2 ms.
-	holdRatePerCore = 2000
-	// startsPerCore is how many starts may wait for their answer: read one after the
-	// other, none waits for as long as the order's timeout.
-	startsPerCore = 400
 	// cordonTerm is how long cordons last without being asked for again.
 	cordonTerm = 3 * time.Second
 	// livesInterval is how often a new owner that has not heard all runners asks
@@ -128,8 +122,8 @@
 	}
 	return pool.Options{
 		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
-		Lease: lease, HoldRate: int(holdRatePerCore * o.m.options.Share),
-		StartsInFlight: int(startsPerCore * o.m.options.Share),
+		Lease: lease, HoldRate: int(pool.DefaultHoldRate * o.m.options.Share),
+		StartsInFlight: int(pool.DefaultStartsInFlight * o.m.options.Share),
 	}
 }
 
