Wait for the connection before the relay is tested

The connection to the peer has 500 ms, and on a busy machine the peer's goroutine had not begun to serve by then. Ruled out: the relay (it passed the call on as it should, and said mayHaveRun). Change: the test waits until the peer answers; its checks are the same. A test file only. Conclusion: real connections in a test have to be up before its checks.

--- a/manager/relay_test.go
+++ b/manager/relay_test.go
@@ -31,7 +31,12 @@
 	away := newMemory()
 	away.fault = func(int) (error, bool) { return errRefused, false }
 	logger := slog.New(slog.DiscardHandler)
-	r := newRelay(brokenStore{away}, owner.NewPeers(nil, logger), func() []string { return []string{listener.Addr().String()} }, logger)
+	peers := owner.NewPeers(nil, logger)
+	addresses := []string{listener.Addr().String()}
+	for len(peers.StoreAges(t.Context(), addresses)) == 0 {
+		// The first connection takes more than its 500 ms where the machine is busy.
+	}
+	r := newRelay(brokenStore{away}, peers, func() []string { return addresses }, logger)
 	r.began = time.Now().Add(-time.Minute)
 
 	tx := table.Tx{Part: "p"}
