Judge starts after an end that is acknowledged later

Cause: the model world failed only for a start after the acknowledgement of an end. A task that was started again after its run had ended done, and before the owner read that end, passed. What the tests replay: the world records each end that is done with its runner and number, the first start after it, and lapses; the acknowledgement of an end that was followed by a start fails unless something lapsed on the runner between the two. A second run on the same runner fails as one on another does. A run whose time ends before its lease is done, even if both are over by the next event. Persistent tasks are judged for two runs at a time only.

--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -95,7 +95,7 @@
 	}
 	for len(r.ended) > 0 && r.ended[0].Number <= e.Acknowledged {
 		if r.ended[0].How == EndDone {
-			r.world.acked[r.ended[0].Task] = true
+			r.world.fail(r.world.record.acknowledge(r.id, r.ended[0]))
 		}
 		r.ended = r.ended[1:]
 	}
@@ -112,26 +112,32 @@
 	delete(r.running, task)
 	r.barred[task] = max(r.barred[task], run.run)
 	r.number++
-	r.ended = append(r.ended, EndedTask{Number: r.number, Task: task, Run: run.run, How: how})
-	if how == EndDone {
-		r.world.ran[task]++
+	ended := EndedTask{Number: r.number, Task: task, Run: run.run, How: how}
+	r.ended = append(r.ended, ended)
+	switch how {
+	case EndDone:
+		r.world.record.done(r.id, r.world.now, ended)
+	case EndLapsed:
+		r.world.record.lapse(r.id)
 	}
 }
 
-// advance ends the runs whose time has come, and all if the lease is over.
+// advance ends the runs whose time has come, and the others if the lease is over.
 func (r *modelRunner) advance() {
 	if r.dead || !r.due() {
 		return
 	}
 	for _, task := range r.sorted() {
-		run := r.running[task]
-		switch {
-		case r.world.now.After(r.lease):
-			r.end(task, EndLapsed)
-		case !run.ends.After(r.world.now):
+		if ends := r.running[task].ends; !ends.After(r.world.now) && !ends.After(r.lease) {
 			r.end(task, EndDone)
 		}
 	}
+	if !r.world.now.After(r.lease) {
+		return
+	}
+	for _, task := range r.sorted() {
+		r.end(task, EndLapsed)
+	}
 }
 
 // due reports whether any run ends now.
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -28,8 +28,7 @@
 	faults      faults
 	cores       job.Milli
 
-	ran      map[job.TaskID]int // runs that ended done
-	acked    map[job.TaskID]bool
+	record   record
 	finished map[job.ID]time.Time
 	handedIn map[job.ID]time.Time
 	failed   string
@@ -79,10 +78,13 @@
 	return last
 }
 
+// worldBegins is when every world's time begins.
+var worldBegins = time.Unix(1_000_000, 0)
+
 func newWorld(t testing.TB, seed uint64, runners int, f faults) *world {
 	w := &world{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), faults: f, cores: 8000,
-		stored: map[job.ID]*storedJob{}, ran: map[job.TaskID]int{}, acked: map[job.TaskID]bool{},
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: worldBegins, faults: f, cores: 8000,
+		stored:   map[job.ID]*storedJob{},
 		finished: map[job.ID]time.Time{}, handedIn: map[job.ID]time.Time{},
 	}
 	for i := range runners {
@@ -100,6 +102,13 @@
 	}
 }
 
+// fail ends the world at the first broken promise; an empty reason is none.
+func (w *world) fail(reason string) {
+	if w.failed == "" && reason != "" {
+		w.failed = fmt.Sprintf("after %v: %s", w.now.Sub(worldBegins), reason)
+	}
+}
+
 func (w *world) after(d time.Duration, do func()) {
 	w.agenda.n++
 	heap.Push(&w.agenda, entry{at: w.now.Add(d), n: w.agenda.n, do: do})
@@ -276,7 +285,7 @@
 	case *FinishJob:
 		w.save(p, e.ID, e.Version, e.ProgressVersion, e.Seq, nil)
 		if e.Outcome.State != job.Completed {
-			w.failed = fmt.Sprintf("job %s ends as %s", e.ID, e.Outcome.State)
+			w.fail(fmt.Sprintf("job %s ends as %s", e.ID, e.Outcome.State))
 		}
 	}
 }
@@ -310,7 +319,7 @@
 func (w *world) step(task job.TaskID) job.Step {
 	s := w.stored[task.Job]
 	if s == nil {
-		w.failed = fmt.Sprintf("task %v of a finished job is started", task)
+		w.fail(fmt.Sprintf("task %v of a finished job is started", task))
 		return job.Step{}
 	}
 	return s.record.Spec.Steps[task.Step]
@@ -323,21 +332,21 @@
 		used = used.Add(run.step.Demand())
 	}
 	if used.CPU > w.cores {
-		w.failed = fmt.Sprintf("%s gets %d of %d", r.id, used.CPU, w.cores)
+		w.fail(fmt.Sprintf("%s gets %d of %d", r.id, used.CPU, w.cores))
 	}
-	if w.acked[e.Task] {
-		w.failed = fmt.Sprintf("%v is started after its end was acknowledged", e.Task)
+	if !step.Persistent {
+		w.fail(w.record.start(r.id, w.now, e.Task, e.Run))
 	}
 	for _, other := range w.runners {
-		if !other.dead && other != r && other.running[e.Task] != nil {
-			w.failed = fmt.Sprintf("%v runs on %s and is started on %s", e.Task, other.id, r.id)
+		if run := other.running[e.Task]; !other.dead && run != nil {
+			w.fail(fmt.Sprintf("%v: run %d is on %s and run %d is started on %s", e.Task, run.run, other.id, e.Run, r.id))
 		}
 	}
 	for _, before := range step.After {
 		spec := w.stored[e.Task.Job].record.Spec.Steps[before]
 		for i := range spec.Count {
-			if w.ran[job.TaskID{Job: e.Task.Job, Step: before, Index: i}] == 0 {
-				w.failed = fmt.Sprintf("%v is started before step %d is done", e.Task, before)
+			if !w.record.completed(job.TaskID{Job: e.Task.Job, Step: before, Index: i}) {
+				w.fail(fmt.Sprintf("%v is started before step %d is done", e.Task, before))
 			}
 		}
 	}
