Give the model world cut runners, full links and missing registrations

Cause: calls in the world were lost or late one by one. No runner was silent for seconds, every new owner saw all registrations and read all jobs at once, no list of lives was delivered, and a runner's list of ends was always whole. What the world can replay now: a runner whose calls are all lost (half of them as surely not sent), links that make requests and answers late and lose half of the answers, registrations that are missing for a while, registrations that outlast a dead runner, lists of lives every 250 ms and spans without them, a store that refuses writes for long, lists of ends that are cut off, and jobs that are read one after the other, so that new ones start while others are being loaded. Only jobs of before the takeover are inherited. A runner's clock is read as it carries a call out and dated as the answer arrives, as the caller of real runners does. Lost outcomes can be looked up.

--- a/core/pool/matrix_test.go
+++ b/core/pool/matrix_test.go
@@ -54,8 +54,7 @@
 		w.after(time.Duration(w.random.IntN(8000))*time.Millisecond, func() { w.submit(n, twoSteps(w)) })
 	}
 	w.after(time.Duration(2000+w.random.IntN(3000))*time.Millisecond, func() {
-		w.runners[0].dead = true
-		w.after(1500*time.Millisecond, w.listRunners)
+		w.kill(w.runners[0])
 	})
 	for _, at := range []int{3000, 9000} {
 		w.after(time.Duration(at+w.random.IntN(2000))*time.Millisecond, w.takeOver)
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -10,10 +10,18 @@
 
 // modelRunner does what a runner is told, under a lease and a fencing token.
 type modelRunner struct {
-	world   *world
-	id      RunnerID
-	dead    bool
-	born    time.Time
+	world *world
+	id    RunnerID
+	dead  bool
+	born  time.Time
+	died  time.Time
+	// cutUntil is when calls arrive again, unregisteredUntil when the runner is
+	// registered again.
+	cutUntil, unregisteredUntil time.Time
+	// delay bounds how long each way of a call takes until delayedUntil.
+	delay        time.Duration
+	delayedUntil time.Time
+
 	fence   Fence
 	lease   time.Time
 	running map[job.TaskID]*modelRun
@@ -30,10 +38,6 @@
 
 func (r *modelRunner) clock() RunnerClock { return RunnerClock(r.world.now.Sub(r.born)) + 1 }
 
-func (r *modelRunner) reading() ClockReading {
-	return ClockReading{Clock: r.clock(), At: r.world.now}
-}
-
 func (r *modelRunner) start(e *StartTask) Call {
 	if r.dead {
 		return Unknown
@@ -80,7 +84,7 @@
 }
 
 func (r *modelRunner) hold(e *HoldRunner) *RunnerHeld {
-	held := &RunnerHeld{Runner: r.id, Call: Done, Clock: r.reading(), Born: r.born}
+	held := &RunnerHeld{Runner: r.id, Call: Done, Clock: ClockReading{Clock: r.clock()}, Born: r.born}
 	if r.dead {
 		held.Call = Unknown
 		return held
@@ -103,10 +107,18 @@
 		run := r.running[task]
 		held.Running = append(held.Running, RunningTask{Task: task, Run: run.run, Percent: int(time.Duration(r.world.now.UnixNano()) / time.Millisecond % 100)})
 	}
-	held.Ended = append(held.Ended, r.ended...)
+	held.Ended = append(held.Ended, r.ended[:r.listable()]...)
 	return held
 }
 
+// listable returns how many ends fit in an answer.
+func (r *modelRunner) listable() int {
+	if limit := r.world.listLimit; limit > 0 {
+		return min(limit, len(r.ended))
+	}
+	return len(r.ended)
+}
+
 func (r *modelRunner) end(task job.TaskID, how End) {
 	run := r.running[task]
 	delete(r.running, task)
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -25,8 +25,17 @@
 	runners     []*modelRunner
 	stored      map[job.ID]*storedJob
 	version     RowVersion
-	faults      faults
-	cores       job.Milli
+	// tenure is the version as of which the owner took over.
+	tenure RowVersion
+	// loadPause is how long a new owner takes to read a job.
+	loadPause time.Duration
+	// storeDownUntil is when the store takes writes again, livesUnknownUntil when
+	// the list of lives can be read again.
+	storeDownUntil, livesUnknownUntil time.Time
+	// listLimit bounds the ends in one answer of a runner; 0 is no bound.
+	listLimit int
+	faults    faults
+	cores     job.Milli
 
 	record   record
 	finished map[job.ID]time.Time
@@ -92,6 +101,7 @@
 	}
 	w.takeOver()
 	w.tick()
+	w.listLives()
 	return w
 }
 
@@ -139,59 +149,6 @@
 	w.after(50*time.Millisecond, w.tick)
 }
 
-// takeOver replaces the owner by one that knows only what is stored. The former
-// owner goes on for a while, as one that does not know yet.
-func (w *world) takeOver() {
-	w.epoch++
-	w.former, w.formerUntil = w.pool, w.now.Add(800*time.Millisecond)
-	w.pool = New(Options{Pool: testPool, Fence: Fence(w.epoch), Epoch: w.epoch, Loading: true}, w.now)
-	w.send(w.pool, &QueuesChanged{Queues: map[job.QueueName]QueueSettings{testQueue: {MaxAttempts: 3, Stretch: 1.6, LatencyTarget: 600 * time.Millisecond}}})
-	w.listRunners()
-	w.load(w.pool)
-}
-
-// load hands the stored jobs over once no former owner can acknowledge ends.
-func (w *world) load(p *Pool) {
-	if p != w.pool {
-		return
-	}
-	if !p.Fenced(w.now) {
-		w.after(10*time.Millisecond, func() { w.load(p) })
-		return
-	}
-	present := map[job.ID]bool{}
-	for id := range w.stored {
-		present[id] = true
-	}
-	for _, id := range sortedIDs(present) {
-		s := w.stored[id]
-		w.send(w.pool, &JobStored{Record: s.record, Version: s.version, Progress: s.progress, ProgressVersion: s.progressVersion, Inherited: true})
-	}
-	w.send(w.pool, &JobsLoaded{Present: present, Version: w.version})
-}
-
-func sortedIDs(set map[job.ID]bool) []job.ID {
-	var out []job.ID
-	for n := range 10_000 {
-		if set[id(n)] {
-			out = append(out, id(n))
-		}
-	}
-	return out
-}
-
-func (w *world) listRunners() {
-	event := &RunnersListed{}
-	for _, r := range w.runners {
-		if !r.dead {
-			event.Runners = append(event.Runners, Runner{
-				ID: r.id, Capacity: job.Resources{CPU: w.cores, Memory: 65536}, Labels: []string{"a", "rack"},
-			})
-		}
-	}
-	w.send(w.pool, event)
-}
-
 // submit stores a job and hands it to the owner.
 func (w *world) submit(n int, spec job.Spec) {
 	w.version++
@@ -214,32 +171,6 @@
 	}
 }
 
-// deliver carries a call to a runner and its answer back, or loses either.
-func (w *world) deliver(r *modelRunner, do func() func(), lost func()) {
-	const oneWay = 2 * time.Millisecond
-	chance := w.random.Float64()
-	f := w.faults
-	switch {
-	case chance < f.lostBefore || r == nil:
-		w.after(500*time.Millisecond, lost)
-	case chance < f.lostBefore+f.lostAfter:
-		w.after(oneWay, func() { do() })
-		w.after(500*time.Millisecond, lost)
-	case chance < f.lostBefore+f.lostAfter+f.late:
-		w.after(time.Duration(2+10*w.random.Float64())*time.Second, func() { do() })
-		w.after(500*time.Millisecond, lost)
-	default:
-		w.after(oneWay, func() {
-			if r.dead {
-				w.after(500*time.Millisecond, lost)
-				return
-			}
-			answer := do()
-			w.after(oneWay, answer)
-		})
-	}
-}
-
 func (w *world) runner(id RunnerID) *modelRunner {
 	for _, r := range w.runners {
 		if r.id == id {
@@ -254,19 +185,19 @@
 	case *StartTask:
 		r := w.runner(e.Runner.ID)
 		w.deliver(r, func() func() {
-			call := r.start(e)
+			call, clock := r.start(e), r.clock()
 			return func() {
-				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading()})
+				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: ClockReading{clock, w.now}})
 			}
-		}, func() { w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run}) })
+		}, func(call Call) { w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call}) })
 	case *StopTask:
 		r := w.runner(e.Runner.ID)
 		w.deliver(r, func() func() {
-			call := r.stop(e)
+			call, clock := r.stop(e), r.clock()
 			return func() {
-				w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading()})
+				w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: ClockReading{clock, w.now}})
 			}
-		}, func() { w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run}) })
+		}, func(call Call) { w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call}) })
 	case *HoldRunner:
 		w.holds++
 		r := w.runner(e.Runner.ID)
@@ -274,8 +205,13 @@
 		w.deliver(r, func() func() {
 			held := r.hold(e)
 			held.Sent = sent
-			return func() { w.send(p, held) }
-		}, func() { w.send(p, &RunnerHeld{Runner: e.Runner.ID, Sent: sent}) })
+			return func() {
+				held.Clock.At = w.now
+				w.send(p, held)
+			}
+		}, func(call Call) { w.send(p, &RunnerHeld{Runner: e.Runner.ID, Call: call, Sent: sent}) })
+	case *LookUpOutcome:
+		w.lookUp(p, e.ID)
 	case *StepDown:
 		if p == w.pool {
 			w.after(300*time.Millisecond, w.takeOver)
@@ -290,32 +226,6 @@
 	}
 }
 
-// save stores progress, or an outcome if apply is nil.
-func (w *world) save(p *Pool, id job.ID, version, progressVersion RowVersion, seq uint64, apply func(*storedJob)) {
-	w.after(5*time.Millisecond, func() {
-		s := w.stored[id]
-		switch {
-		case w.random.Float64() < w.faults.storeRefused:
-			w.send(p, &JobSaved{ID: id, Seq: seq, Failed: true})
-			return
-		case s == nil:
-			w.send(p, &JobEnded{ID: id, Outcome: job.Outcome{State: job.Completed, At: w.now}})
-			return
-		case s.version != version || s.progressVersion != progressVersion:
-			w.send(p, &OwnerChanged{ID: id})
-			return
-		}
-		w.version++
-		if apply == nil {
-			delete(w.stored, id)
-			w.finished[id] = w.now
-		} else {
-			apply(s)
-		}
-		w.send(p, &JobSaved{ID: id, Seq: seq, Version: w.version, Finished: apply == nil})
-	})
-}
-
 func (w *world) step(task job.TaskID) job.Step {
 	s := w.stored[task.Job]
 	if s == nil {
