--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -10,10 +10,18 @@
 
 // modelRunner does what a runner is told, under a lease and a fencing token.
 type modelRunner struct {
-	world   *world
-	id      RunnerID
-	dead    bool
-	born    time.Time
+	world *world
+	id    RunnerID
+	dead  bool
+	born  time.Time
+	died  time.Time
+	// cutUntil is when calls arrive again, unregisteredUntil when the runner is
+	// registered again.
+	cutUntil, unregisteredUntil time.Time
+	// delay bounds how long each way of a call takes until delayedUntil.
+	delay        time.Duration
+	delayedUntil time.Time
+
 	fence   Fence
 	lease   time.Time
 	running map[job.TaskID]*modelRun
@@ -30,10 +38,6 @@
 
 func (r *modelRunner) clock() RunnerClock { return RunnerClock(r.world.now.Sub(r.born)) + 1 }
 
-func (r *modelRunner) reading() ClockReading {
-	return ClockReading{Clock: r.clock(), At: r.world.now}
-}
-
 func (r *modelRunner) start(e *StartTask) Call {
 	if r.dead {
 		return Unknown
@@ -80,7 +84,7 @@
 }
 
 func (r *modelRunner) hold(e *HoldRunner) *RunnerHeld {
-	held := &RunnerHeld{Runner: r.id, Call: Done, Clock: r.reading(), Born: r.born}
+	held := &RunnerHeld{Runner: r.id, Call: Done, Clock: ClockReading{Clock: r.clock()}, Born: r.born}
 	if r.dead {
 		held.Call = Unknown
 		return held
@@ -95,7 +99,7 @@
 	}
 	for len(r.ended) > 0 && r.ended[0].Number <= e.Acknowledged {
 		if r.ended[0].How == EndDone {
-			r.world.acked[r.ended[0].Task] = true
+			r.world.fail(r.world.record.acknowledge(r.id, r.ended[0]))
 		}
 		r.ended = r.ended[1:]
 	}
@@ -103,35 +107,49 @@
 		run := r.running[task]
 		held.Running = append(held.Running, RunningTask{Task: task, Run: run.run, Percent: int(time.Duration(r.world.now.UnixNano()) / time.Millisecond % 100)})
 	}
-	held.Ended = append(held.Ended, r.ended...)
+	held.Ended = append(held.Ended, r.ended[:r.listable()]...)
 	return held
 }
 
+// listable returns how many ends fit in an answer.
+func (r *modelRunner) listable() int {
+	if limit := r.world.listLimit; limit > 0 {
+		return min(limit, len(r.ended))
+	}
+	return len(r.ended)
+}
+
 func (r *modelRunner) end(task job.TaskID, how End) {
 	run := r.running[task]
 	delete(r.running, task)
 	r.barred[task] = max(r.barred[task], run.run)
 	r.number++
-	r.ended = append(r.ended, EndedTask{Number: r.number, Task: task, Run: run.run, How: how})
-	if how == EndDone {
-		r.world.ran[task]++
+	ended := EndedTask{Number: r.number, Task: task, Run: run.run, How: how}
+	r.ended = append(r.ended, ended)
+	switch how {
+	case EndDone:
+		r.world.record.done(r.id, r.world.now, ended)
+	case EndLapsed:
+		r.world.record.lapse(r.id)
 	}
 }
 
-// advance ends the runs whose time has come, and all if the lease is over.
+// advance ends the runs whose time has come, and the others if the lease is over.
 func (r *modelRunner) advance() {
 	if r.dead || !r.due() {
 		return
 	}
 	for _, task := range r.sorted() {
-		run := r.running[task]
-		switch {
-		case r.world.now.After(r.lease):
-			r.end(task, EndLapsed)
-		case !run.ends.After(r.world.now):
+		if ends := r.running[task].ends; !ends.After(r.world.now) && !ends.After(r.lease) {
 			r.end(task, EndDone)
 		}
 	}
+	if !r.world.now.After(r.lease) {
+		return
+	}
+	for _, task := range r.sorted() {
+		r.end(task, EndLapsed)
+	}
 }
 
 // due reports whether any run ends now.
