Conclude nothing from a list of ends that is not whole

What callers saw: a task that had completed ran again. Change: absent tasks are judged only when every end is handled. A runner whose list is cut off says so, and does not count as heard.

--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -143,6 +143,8 @@
 	Born    time.Time
 	Running []RunningTask
 	Ended   []EndedTask
+	// Truncated is true if the runner may have more ends than it lists.
+	Truncated bool
 }
 
 // RunningTask is a task that a runner lists as running.
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -93,9 +93,13 @@
 		p.reborn(now, r, e)
 	}
 	r.fenced = true
-	r.resolved = p.handleEnds(now, r, e.Ended)
+	handled := p.handleEnds(now, r, e.Ended)
+	r.resolved = handled && (r.resolved || !e.Truncated)
 	listed := p.handleRunning(now, r, e)
-	p.handleAbsent(now, r, e, listed)
+	p.handleStrangers(r, listed)
+	if handled && !e.Truncated {
+		p.handleAbsent(now, r, e, listed)
+	}
 	p.pace(now, r)
 	p.changed = true
 }
@@ -307,13 +311,9 @@
 	p.emit(&StopTask{Runner: r.Runner, Task: row.Task, Run: row.Run, Fence: p.options.Fence})
 }
 
-// handleAbsent frees the tasks that the runner surely does not run.
+// handleAbsent frees the tasks that the runner surely does not run. All its ends
+// must have been handled before: a task that is not listed may be among them.
 func (p *Pool) handleAbsent(now time.Time, r *runnerState, e *RunnerHeld, listed map[job.TaskID]bool) {
-	for id := range r.strangers {
-		if !listed[id] {
-			delete(r.strangers, id)
-		}
-	}
 	p.loseTasks(now, r, "notListed", func(t *task) bool {
 		if listed[t.id] {
 			return false
@@ -328,6 +328,15 @@
 		}
 		return false
 	})
+}
+
+// handleStrangers stops the runs that should not be there, until they are not.
+func (p *Pool) handleStrangers(r *runnerState, listed map[job.TaskID]bool) {
+	for id := range r.strangers {
+		if !listed[id] {
+			delete(r.strangers, id)
+		}
+	}
 	for _, id := range slices.SortedFunc(maps.Keys(r.strangers), job.TaskID.Compare) {
 		p.emit(&StopTask{Runner: r.Runner, Task: id, Run: r.strangers[id], Fence: p.options.Fence})
 	}
--- a/core/pool/model_test.go
+++ b/core/pool/model_test.go
@@ -108,6 +108,7 @@
 		held.Running = append(held.Running, RunningTask{Task: task, Run: run.run, Percent: int(time.Duration(r.world.now.UnixNano()) / time.Millisecond % 100)})
 	}
 	held.Ended = append(held.Ended, r.ended[:r.listable()]...)
+	held.Truncated = len(held.Ended) < len(r.ended)
 	return held
 }
 
