Let a new owner wait for every life that may hold runs

What callers saw: after entries were restarted while the store was away, tasks that ran or had completed were started again. Cause: a new owner took the registrations for all runners. Besides, it took the end of all leases for proof that nothing was done. Ruled out: two owners at a time (the former one was fenced), grants that were miscounted (nothing had lapsed). Change: the list of instances as of the takeover names the lives that are awaited, with the registrations of the first 1.5 s. Tasks of inherited jobs start once each is heard or over. Persistent tasks, which do not complete, may start when all leases have ended. TestProgressIsReadAfterAllRunnersAnswered asks for more than before: the lives must be known, and a life that is not registered heard.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -35,7 +35,7 @@
 		for _, o := range j.occurrences {
 			for _, step := range o.steps {
 				// In an overloaded pool most steps fit nowhere: no need to scan its runners.
-				if step.ready == 0 || (!step.spec.Persistent && !widest.Fits(step.spec.Demand())) {
+				if step.ready == 0 || (!step.spec.Persistent && !widest.Fits(step.spec.Demand())) || !p.mayStart(now, j, step) {
 					continue
 				}
 				before := step.ready
--- a/core/pool/inherit_test.go
+++ b/core/pool/inherit_test.go
@@ -56,7 +56,12 @@
 	r.held("r1", nil, nil)
 	want(t, "before the second has answered", r.pool.Fenced(r.now), false)
 	r.held("r2", nil, nil)
-	want(t, "after both have answered", r.pool.Fenced(r.now), true)
+	want(t, "before the lives are known", r.pool.Fenced(r.now), false)
+	r.lives("r1", "r2", "r3")
+	want(t, "before an unregistered one has answered", r.pool.Fenced(r.now), false)
+	r.runners("r1", "r2", "r3")
+	r.held("r3", nil, nil)
+	want(t, "after all have answered", r.pool.Fenced(r.now), true)
 }
 
 // TestProgressIsReadAfterLeases lets a runner stay silent: the former owner's orders
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -111,15 +111,15 @@
 	jobOrder    []*jobState
 	runnerOrder []*runnerState
 	// ended keeps the outcomes of jobs for as long as callers may ask.
-	ended   map[job.ID]job.Outcome
-	runners map[RunnerID]*runnerState
-	tickets map[string]*stepTickets
-	listed  bool
-	// unheard are lives of instances that are up but not registered, gone those
-	// that are registered but over.
-	unheard, gone map[RunnerID]bool
-	arrivals      arrivals
-	runtimes      map[job.QueueName]*runtimes
+	ended    map[job.ID]job.Outcome
+	runners  map[RunnerID]*runnerState
+	tickets  map[string]*stepTickets
+	listed   bool
+	takeover takeover
+	// gone are the runners that are registered although their lives are over.
+	gone     map[RunnerID]bool
+	arrivals arrivals
+	runtimes map[job.QueueName]*runtimes
 
 	// planned is when the jobs were last ranked, ranked their order.
 	planned time.Time
@@ -136,16 +136,16 @@
 func New(options Options, now time.Time) *Pool {
 	options.setDefaults()
 	return &Pool{
-		options: options,
-		since:   now,
-		loading: options.Loading,
-		queues:  map[job.QueueName]QueueSettings{},
-		jobs:    map[job.ID]*jobState{},
-		ended:   map[job.ID]job.Outcome{},
-		runners: map[RunnerID]*runnerState{},
-		tickets: map[string]*stepTickets{},
-		unheard: map[RunnerID]bool{},
-		gone:    map[RunnerID]bool{},
+		options:  options,
+		since:    now,
+		loading:  options.Loading,
+		queues:   map[job.QueueName]QueueSettings{},
+		jobs:     map[job.ID]*jobState{},
+		ended:    map[job.ID]job.Outcome{},
+		runners:  map[RunnerID]*runnerState{},
+		tickets:  map[string]*stepTickets{},
+		takeover: takeover{awaited: map[RunnerID]bool{}},
+		gone:     map[RunnerID]bool{},
 
 		runtimes: map[job.QueueName]*runtimes{},
 	}
@@ -190,44 +190,6 @@
 	return q
 }
 
-// recovered reports whether nothing that a former owner started can still be
-// unknown: every runner was heard, or all leases that it gave have run out.
-func (p *Pool) recovered(now time.Time) bool {
-	if p.loading || !p.listed {
-		return false
-	}
-	if p.options.Epoch <= 1 || now.Sub(p.since) > leaseBound(p.options.Lease) {
-		return true
-	}
-	for _, r := range p.runnerOrder {
-		if !r.resolved {
-			return false
-		}
-	}
-	return len(p.unheard) == 0
-}
-
-// Fenced reports whether no former owner can acknowledge an end any more. Stored
-// progress is complete only if it is read after that: what is stored later is
-// still listed by the runner.
-func (p *Pool) Fenced(now time.Time) bool {
-	if p.options.Epoch <= 1 || now.Sub(p.since) > leaseBound(p.options.Lease) {
-		return true
-	}
-	if !p.listed {
-		return false
-	}
-	for _, r := range p.runnerOrder {
-		if !r.fenced {
-			return false
-		}
-	}
-	return true
-}
-
-// Recovered reports whether tasks of inherited jobs may be started.
-func (p *Pool) Recovered(now time.Time) bool { return p.recovered(now) }
-
 // Bounds of a runner's steady clock against the owner's.
 const (
 	// clockDrift is how much slower than true time a runner's clock may be.
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -60,6 +60,15 @@
 	return r.send(&RunnersListed{Runners: list})
 }
 
+// lives lists the lives of instances that are up.
+func (r *rig) lives(ids ...RunnerID) []Effect {
+	alive := map[RunnerID]bool{}
+	for _, id := range ids {
+		alive[id] = true
+	}
+	return r.send(&LivesListed{Alive: alive, Asked: r.now})
+}
+
 // held answers a hold of a runner.
 func (r *rig) held(id RunnerID, running []RunningTask, ended []EndedTask) []Effect {
 	sent := r.now
@@ -182,6 +191,7 @@
 	effects = append(effects, r.held("r2", nil, nil)...)
 	effects = append(effects, r.pass(time.Second)...)
 	want(t, "starts", starts(effects), []string(nil))
+	r.lives("r1", "r2")
 	effects = r.held("r1", nil, []EndedTask{{Number: 9, Task: name(1, 0, 0), Run: 4, How: EndFailed}})
 	want(t, "next run", starts(effects), []string{name(1, 0, 0).String() + " 20001@r2"})
 }
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -213,12 +213,12 @@
 }
 
 func (p *Pool) updateRunner(now time.Time, listed Runner) {
-	delete(p.unheard, listed.ID)
 	r := p.runners[listed.ID]
 	if r == nil {
 		r = newRunnerState(listed)
 		r.listed = now
 		p.addRunner(r)
+		p.await(now, r.ID)
 		return
 	}
 	r.Runner = listed
@@ -227,6 +227,7 @@
 
 // apply implements Event.
 func (e *RunnerEnded) apply(p *Pool, now time.Time) {
+	delete(p.takeover.awaited, e.Runner)
 	r := p.runners[e.Runner]
 	if r == nil {
 		return
@@ -236,29 +237,6 @@
 	p.dropRunner(e.Runner)
 }
 
-// apply implements Event. Only runners that do not answer are taken for gone:
-// the list may lack a runner that has just begun.
-func (e *LivesListed) apply(p *Pool, now time.Time) {
-	if p.recovered(now) {
-		return
-	}
-	for _, r := range p.runnerOrder {
-		id := r.ID
-		if !e.Alive[id] && !r.resolved && r.failedCalls > 0 && r.listed.Before(e.Asked) {
-			p.emit(&Decided{Runner: id, What: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.Asked)})
-			(&RunnerEnded{Runner: id}).apply(p, now)
-			p.gone[id] = true
-		}
-	}
-	clear(p.unheard)
-	for id := range e.Alive {
-		if p.runners[id] == nil {
-			p.unheard[id] = true
-		}
-	}
-	p.changed = true
-}
-
 // apply implements Event.
 func (e *Cordoned) apply(p *Pool, _ time.Time) {
 	for _, r := range p.runnerOrder {
--- /dev/null
+++ b/core/pool/takeover.go
@@ -0,0 +1,108 @@
+package pool
+
+import "time"
+
+// takeover is what a new owner has yet to hear of its predecessors' runs. A run
+// that no runner has told of may have completed, so that its task must not be
+// started again: neither a list of registrations, which may lack runners that
+// live, nor the end of a lease says how a run ended.
+type takeover struct {
+	// listed is true once the lives of instances are known as of the takeover.
+	listed bool
+	// awaited are the lives that may hold runs of a former owner.
+	awaited map[RunnerID]bool
+}
+
+// registrationLag bounds how much later than its registration a runner is known
+// here: a pause between two reads of the feed and a slow answer.
+const registrationLag = 1500 * time.Millisecond
+
+// await notes that a runner may hold runs of a former owner.
+func (p *Pool) await(now time.Time, id RunnerID) {
+	if p.options.Epoch > 1 && now.Sub(p.since) <= registrationLag {
+		p.takeover.awaited[id] = true
+	}
+}
+
+// noteLives begins with all lives as of the takeover, and drops those that are over.
+func (p *Pool) noteLives(e *LivesListed) {
+	t := &p.takeover
+	if !t.listed {
+		t.listed = true
+		for id := range e.Alive {
+			t.awaited[id] = true
+		}
+	}
+	for id := range t.awaited {
+		if !e.Alive[id] && p.runners[id] == nil {
+			delete(t.awaited, id)
+		}
+	}
+}
+
+// inherits reports whether a former owner may have given orders.
+func (p *Pool) inherits() bool { return p.options.Epoch > 1 }
+
+// heardAll reports whether every life of the takeover is over or meets a condition.
+func (p *Pool) heardAll(heard func(*runnerState) bool) bool {
+	if !p.listed || !p.takeover.listed {
+		return false
+	}
+	for id := range p.takeover.awaited {
+		if r := p.runners[id]; r == nil || !heard(r) {
+			return false
+		}
+	}
+	return true
+}
+
+// leasesOver reports whether nothing runs any more that a former owner started.
+func (p *Pool) leasesOver(now time.Time) bool {
+	return now.Sub(p.since) > leaseBound(p.options.Lease)
+}
+
+// Recovered reports whether it is known of every run of a former owner how it
+// ended. Only then tasks of inherited jobs may be started.
+func (p *Pool) Recovered() bool {
+	if p.loading || !p.listed {
+		return false
+	}
+	return !p.inherits() || p.heardAll(func(r *runnerState) bool { return r.resolved })
+}
+
+// mayStart reports whether a step's tasks cannot run, and have not completed, under
+// a former owner. A persistent task does not complete: the leases' end is enough.
+func (p *Pool) mayStart(now time.Time, j *jobState, step *stepState) bool {
+	if !j.inherited || p.Recovered() {
+		return true
+	}
+	return step.spec.Persistent && !p.loading && p.leasesOver(now)
+}
+
+// Fenced reports whether no former owner can acknowledge an end any more. Stored
+// progress is complete only if it is read after that: what is stored later is
+// still listed by the runner.
+func (p *Pool) Fenced(now time.Time) bool {
+	if !p.inherits() || p.leasesOver(now) {
+		return true
+	}
+	return p.heardAll(func(r *runnerState) bool { return r.fenced })
+}
+
+// AwaitsLives reports whether the list of lives may settle what no runner tells.
+func (p *Pool) AwaitsLives(time.Time) bool { return p.inherits() && !p.Recovered() }
+
+// apply implements Event. Only runners that do not answer are taken for gone:
+// the list may lack a runner that has just begun.
+func (e *LivesListed) apply(p *Pool, now time.Time) {
+	for _, r := range p.runnerOrder {
+		if e.Alive[r.ID] || r.resolved || r.failedCalls == 0 || !r.listed.Before(e.Asked) || !r.answered.Before(e.Asked) {
+			continue
+		}
+		p.emit(&Decided{Runner: r.ID, What: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.Asked)})
+		(&RunnerEnded{Runner: r.ID}).apply(p, now)
+		p.gone[r.ID] = true
+	}
+	p.noteLives(e)
+	p.changed = true
+}
--- a/manager/load.go
+++ b/manager/load.go
@@ -16,14 +16,16 @@
 // loadReaders is how many parts a new owner reads at a time.
 const loadReaders = 8
 
-// listLives tells a new owner which runners are gone, until it has heard of all.
+// listLives tells which lives of runners are over, while the pool has to know.
 func (o *poolOwner) listLives(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, livesInterval)
-		recovered := false
-		if !o.ask(ctx, func(_ context.Context, p *pool.Pool) { recovered = p.Recovered(time.Now()) }) || recovered {
+	for ; ctx.Err() == nil; sleep(ctx, livesInterval) {
+		awaited := false
+		if !o.ask(ctx, func(_ context.Context, p *pool.Pool) { awaited = p.AwaitsLives(time.Now()) }) {
 			return
 		}
+		if !awaited {
+			continue
+		}
 		asked := time.Now()
 		instances, err := o.m.instances.List(ctx)
 		if err != nil {
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -18,8 +18,8 @@
 	maxBatch = 256
 	// cordonTerm is how long cordons last without being asked for again.
 	cordonTerm = 3 * time.Second
-	// livesInterval is how often a new owner that has not heard all runners asks
-	// which lives are over.
+	// livesInterval is how often an owner that has not heard all runners asks which
+	// lives are over.
 	livesInterval = 250 * time.Millisecond
 	// fencePoll is how often a new owner looks whether all runners have answered.
 	fencePoll = 10 * time.Millisecond
