Do not start a task again before it is known how its run ended

Cause: when a runner had not answered for the length of its lease, its tasks were taken for lost. Ruled out: miscounted leases (the runner's lease was over 4 s before the owner gave the tasks up), a change of owner (none), ends that were skipped. Change: only persistent tasks, which do not complete, are freed by the end of a lease. Others stay unresolved until the runner tells, or the list of instances tells that its life is over; owners now ask for that list whenever a runner with tasks is silent, and go on calling one that is no longer registered. TestSilentRunnerLosesItsTasks took the fault for a promise. Two tests replace it: persistent tasks are lost by the same bound, others as soon as the life is known to be over.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -31,7 +31,7 @@
 		if r.holding || now.Before(r.holdNext) {
 			continue
 		}
-		if !r.missing.IsZero() && now.Sub(r.missing) > lostAfter {
+		if len(r.tasks) == 0 && !r.missing.IsZero() && now.Sub(r.missing) > lostAfter {
 			continue
 		}
 		busy := len(r.tasks) > 0 || len(r.strangers) > 0
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -40,17 +40,19 @@
 	// avoid is where the last run failed.
 	avoid RunnerID
 
-	ordered   time.Time // when the last order was sent
-	orders    int       // orders of this run that were sent
-	inFlight  bool
-	unsure    bool // an order of this run had no answer
-	confirmed time.Time
-	voidAfter time.Time // when an unconfirmed start can no longer take effect
-	stopped   time.Time // when a stop was confirmed
-	percent   int
-	moved     time.Time // when the saved work or percent last changed
-	tail      time.Duration
-	slowed    int // how much below full pace, in percent
+	ordered  time.Time // when the last order was sent
+	orders   int       // orders of this run that were sent
+	inFlight bool
+	unsure   bool // an order of this run had no answer
+	// unresolved is true if the lease of this run has ended and nothing more is known.
+	unresolved bool
+	confirmed  time.Time
+	voidAfter  time.Time // when an unconfirmed start can no longer take effect
+	stopped    time.Time // when a stop was confirmed
+	percent    int
+	moved      time.Time // when the saved work or percent last changed
+	tail       time.Duration
+	slowed     int // how much below full pace, in percent
 }
 
 // nextRun returns a run number that nobody has used for the task.
@@ -252,7 +254,7 @@
 	if t.runner != nil {
 		t.runner.release(t)
 	}
-	t.orders, t.inFlight, t.unsure = 0, false, false
+	t.orders, t.inFlight, t.unsure, t.unresolved = 0, false, false, false
 	t.confirmed, t.stopped, t.voidAfter = time.Time{}, time.Time{}, time.Time{}
 	t.percent, t.tail, t.slowed = 0, 0, 0
 	p.changed = true
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -195,6 +195,22 @@
 	}
 }
 
+// expireLease frees the persistent tasks of a runner whose lease has ended. Others
+// may have completed before: they wait until the runner tells, or its life is over.
+func (p *Pool) expireLease(now time.Time, r *runnerState) {
+	p.loseTasks(now, r, "leaseExpired", func(t *task) bool { return t.step.spec.Persistent })
+	for _, t := range r.order {
+		if t.unresolved {
+			continue
+		}
+		t.unresolved = true
+		p.emit(&Decided{
+			Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "taskUnresolved",
+			Reason: "its lease has ended and the runner has not told how the run did", DataAge: now.Sub(r.answered),
+		})
+	}
+}
+
 // failJob fails a job whose task has used all attempts.
 func (p *Pool) failJob(now time.Time, t *task) {
 	p.conclude(now, t.job, job.Failed, "task "+t.id.String()+" used all attempts")
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -123,6 +123,11 @@
 		!now.Before(r.avoidUntil) && r.health.admits(now, r.trials)
 }
 
+// silent reports whether the runner has not answered for a while.
+func (r *runnerState) silent(now time.Time) bool {
+	return r.failedCalls > 0 && now.Sub(r.answered) > silentAfter
+}
+
 func (r *runnerState) hasLabel(label string) bool { return slices.Contains(r.Labels, label) }
 
 // release takes a task off the runner.
@@ -164,11 +169,28 @@
 	t.runner = r
 }
 
+// saved reports whether what the end has changed is stored.
+func (e *unacknowledged) saved() bool {
+	return e.seq == 0 || e.job.savedSeq >= e.seq || e.job.closed
+}
+
+// unsavedEnds counts the ends that are not stored yet.
+func (r *runnerState) unsavedEnds() int {
+	n := 0
+	for i := range r.ends {
+		if !r.ends[i].saved() {
+			n++
+		}
+	}
+	return n
+}
+
 // acknowledge returns the highest end up to which all are stored.
 func (r *runnerState) acknowledge() int64 {
 	n := 0
-	for _, e := range r.ends {
-		if e.seq > 0 && e.job.savedSeq < e.seq && !e.job.closed {
+	for i := range r.ends {
+		e := &r.ends[i]
+		if !e.saved() {
 			break
 		}
 		r.acked = e.number
@@ -183,8 +205,7 @@
 	if len(r.ends) == 0 {
 		return false
 	}
-	e := r.ends[0]
-	return e.seq == 0 || e.job.savedSeq >= e.seq || e.job.closed
+	return r.ends[0].saved()
 }
 
 // apply implements Event.
@@ -254,9 +275,9 @@
 	for _, r := range p.runnerOrder {
 		id := r.ID
 		if len(r.tasks) > 0 && now.After(r.leaseEnds) {
-			p.loseTasks(now, r, "leaseExpired", func(*task) bool { return true })
+			p.expireLease(now, r)
 		}
-		if now.After(r.leaseEnds) && !r.missing.IsZero() && !r.holding {
+		if len(r.tasks) == 0 && now.After(r.leaseEnds) && !r.missing.IsZero() && !r.holding {
 			p.dropRunner(id)
 		}
 	}
--- /dev/null
+++ b/core/pool/silent_test.go
@@ -0,0 +1,95 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// silence lets calls to r1 fail for a time while r2 answers, and returns the
+// starts. The list of lives is read twice a second.
+func (r *rig) silence(d time.Duration, lives ...RunnerID) []string {
+	var again []string
+	for began := r.now; r.now.Sub(began) < d && len(again) == 0; {
+		effects := r.pass(100 * time.Millisecond)
+		for _, h := range of[*HoldRunner](effects) {
+			if h.Runner.ID == "r1" {
+				r.send(&RunnerHeld{Runner: "r1", Call: Unknown, Sent: r.now})
+			}
+		}
+		if len(lives) > 0 && r.now.Sub(began)%(500*time.Millisecond) == 0 {
+			effects = append(effects, r.lives(lives...)...)
+		}
+		again = append(again, starts(effects)...)
+	}
+	return again
+}
+
+// silentRig starts a step's task on r1, which falls silent; r2 is idle.
+func silentRig(t *testing.T, step job.Step) *rig {
+	r := newRig(t, Options{})
+	r.runners("r1")
+	r.held("r1", nil, nil)
+	r.started(r.store(id(1), false, step))
+	want(t, "calls that extend the lease", len(of[*HoldRunner](r.pass(2*holdGap))), 1)
+	r.send(&RunnerHeld{Runner: "r1", Call: Unknown, Sent: r.now})
+	r.runners("r1", "r2")
+	r.held("r2", nil, nil)
+	return r
+}
+
+// TestSilentRunnerLosesItsPersistentTasks replays a rack that goes dark: calls to
+// it fail until the lease has run out.
+func TestSilentRunnerLosesItsPersistentTasks(t *testing.T) {
+	step := oneTask()
+	step.Persistent = true
+	r := silentRig(t, step)
+	began := r.now
+	want(t, "start elsewhere", r.silence(8*time.Second, "r1", "r2"), []string{name(1, 0, 0).String() + " 2@r2"})
+	if waited := r.now.Sub(began); waited < DefaultLease || waited > leaseBound(DefaultLease)+500*time.Millisecond {
+		t.Errorf("task was lost after %v, want just after the lease of %v", waited, DefaultLease)
+	}
+}
+
+// TestDeadRunnerLosesItsTasks replays the same rack when the list of instances
+// tells that its lives are over.
+func TestDeadRunnerLosesItsTasks(t *testing.T) {
+	r := silentRig(t, oneTask())
+	began := r.now
+	want(t, "start elsewhere", r.silence(8*time.Second, "r2"), []string{name(1, 0, 0).String() + " 2@r2"})
+	if waited := r.now.Sub(began); waited > leaseBound(DefaultLease)+500*time.Millisecond {
+		t.Errorf("task was lost after %v, want no later than the lease of %v", waited, DefaultLease)
+	}
+}
+
+// TestTaskOnASilentRunnerWaitsForItsEnd replays an owner whose full
+// link lost every answer of a runner that had completed its task.
+func TestTaskOnASilentRunnerWaitsForItsEnd(t *testing.T) {
+	cases := map[string]struct {
+		how  End
+		want []string
+	}{
+		"done":   {EndDone, nil},
+		"lapsed": {EndLapsed, []string{name(1, 0, 0).String() + " 2@r1"}},
+	}
+	for title, c := range cases {
+		t.Run(title, func(t *testing.T) {
+			r := silentRig(t, oneTask())
+			want(t, "starts while it is silent", r.silence(20*time.Second, "r1", "r2"), []string(nil))
+			end := EndedTask{Number: 1, Task: name(1, 0, 0), Run: 1, How: c.how}
+			want(t, "starts once it answers", starts(r.held("r1", nil, []EndedTask{end})), c.want)
+		})
+	}
+}
+
+// TestUnregisteredRunnerIsCalledWhileItsTaskIsUnresolved replays a registration
+// that lapsed beside a runner that is cut off for long.
+func TestUnregisteredRunnerIsCalledWhileItsTaskIsUnresolved(t *testing.T) {
+	r := silentRig(t, oneTask())
+	r.runners("r2")
+	r.silence(lostAfter+5*time.Second, "r1", "r2")
+	if holds := of[*HoldRunner](r.pass(3 * time.Second)); len(holds) != 1 || holds[0].Runner.ID != "r1" {
+		t.Errorf("holds = %v, want one of the silent runner", holds)
+	}
+}
--- a/core/pool/takeover.go
+++ b/core/pool/takeover.go
@@ -89,14 +89,25 @@
 	return p.heardAll(func(r *runnerState) bool { return r.fenced })
 }
 
-// AwaitsLives reports whether the list of lives may settle what no runner tells.
-func (p *Pool) AwaitsLives(time.Time) bool { return p.inherits() && !p.Recovered() }
+// AwaitsLives reports whether the list of lives may settle what no runner tells:
+// after a takeover, or beside a runner that does not answer.
+func (p *Pool) AwaitsLives(now time.Time) bool {
+	if p.inherits() && !p.Recovered() {
+		return true
+	}
+	for _, r := range p.runnerOrder {
+		if len(r.tasks) > 0 && r.silent(now) {
+			return true
+		}
+	}
+	return false
+}
 
 // apply implements Event. Only runners that do not answer are taken for gone:
 // the list may lack a runner that has just begun.
 func (e *LivesListed) apply(p *Pool, now time.Time) {
 	for _, r := range p.runnerOrder {
-		if e.Alive[r.ID] || r.resolved || r.failedCalls == 0 || !r.listed.Before(e.Asked) || !r.answered.Before(e.Asked) {
+		if e.Alive[r.ID] || r.failedCalls == 0 || !r.listed.Before(e.Asked) || !r.answered.Before(e.Asked) {
 			continue
 		}
 		p.emit(&Decided{Runner: r.ID, What: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.Asked)})
