Do not report a runner as empty before its ends are known and stored

Cause: the owner had not heard from the runner for 10 s and had not stored its last ends. The planner took the report for one of an idle runner, or lost patience, and ordered the upkeep. With the life, its account of what was done went. Change: a silent runner with tasks is not known, so that its instance gets no order; ends that are not stored count as tasks that have yet to pass. Evidence: TestSilentRunnerIsNotReportedKnown and TestRunnerIsNotReportedEmptyBeforeItsEndsAreStored failed before and pass now.

--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -9,13 +9,14 @@
 // RunnerReport is what a pool's owner tells of a runner.
 type RunnerReport struct {
 	Runner RunnerID
-	// Persistent and Passing count the tasks that last and those that end by themselves.
+	// Persistent and Passing count the tasks that last and those that end by
+	// themselves. The latter include those whose ends are not stored yet.
 	Persistent, Passing int
 	Used                job.Resources
 	Capacity            job.Resources
 	Cordoned            bool
 	Usable              bool
-	// Known is false while the owner has not heard what the runner runs.
+	// Known is false while the owner does not hear what has become of the runner's tasks.
 	Known bool
 }
 
@@ -42,10 +43,11 @@
 	report := Report{Pool: p.options.Pool, Recovered: p.Recovered()}
 	for _, r := range p.runnerOrder {
 		line := RunnerReport{
-			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now), Known: r.resolved,
+			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now),
+			Known: r.resolved && (len(r.tasks) == 0 || r.failedCalls == 0),
 		}
-		line.Passing = r.trials
-		line.Persistent = len(r.tasks) - line.Passing
+		line.Passing = r.trials + r.unsavedEnds()
+		line.Persistent = len(r.tasks) - r.trials
 		report.Runners = append(report.Runners, line)
 	}
 	for _, j := range p.jobOrder {
--- a/core/pool/silent_test.go
+++ b/core/pool/silent_test.go
@@ -93,3 +93,26 @@
 		t.Errorf("holds = %v, want one of the silent runner", holds)
 	}
 }
+
+// TestRunnerIsNotReportedEmptyBeforeItsEndsAreStored replays upkeep that ended the
+// life of a runner whose last end nobody had stored.
+func TestRunnerIsNotReportedEmptyBeforeItsEndsAreStored(t *testing.T) {
+	r := newRig(t, Options{})
+	r.runners("r1")
+	r.held("r1", nil, nil)
+	r.started(r.store(id(1), false, oneTask(), oneTask()))
+	effects := r.held("r1", nil, []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 1, How: EndDone}, {Number: 2, Task: name(1, 1, 0), Run: 1, How: EndFailed}})
+	want(t, "passing tasks before", r.pool.Report(r.now).Runners[0].Passing, 3)
+	effects = append(effects, r.pass(saveInterval)...)
+	r.send(&JobSaved{ID: id(1), Seq: of[*SaveJob](effects)[0].Seq, Version: 12})
+	want(t, "passing tasks after", r.pool.Report(r.now).Runners[0].Passing, 1)
+}
+
+// TestSilentRunnerIsNotReportedKnown replays upkeep that ended the life of a runner
+// before the owner had heard that its task was done.
+func TestSilentRunnerIsNotReportedKnown(t *testing.T) {
+	r := silentRig(t, oneTask())
+	want(t, "known while it is silent", r.pool.Report(r.now).Runners[0].Known, false)
+	r.held("r1", []RunningTask{{Task: name(1, 0, 0), Run: 1}}, nil)
+	want(t, "known once it answers", r.pool.Report(r.now).Runners[0].Known, true)
+}
