Tell duplicates, silent runners and a new owner's recovery

Change: core/pool/audit.go emits DoneAgain and RunnerAnswered; the manager writes 'task was done twice' (WARN), 'runner answers again', 'owner begins', 'owner is fenced', 'jobs are loaded', 'owner recovered'; lines on orders without an answer tell the verdict, the time and the lease.

--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -114,6 +114,9 @@
 // String returns the camel case name that logs use.
 func (c Call) String() string { return callNames[c] }
 
+// Answered reports whether the runner has answered at all.
+func (c Call) Answered() bool { return c != Unknown && c != NotSent }
+
 // TaskStarted answers StartTask.
 type TaskStarted struct {
 	Runner RunnerID
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -96,6 +96,7 @@
 	r.resolved = p.handleEnds(now, r, e.Ended)
 	listed := p.handleRunning(now, r, e)
 	p.handleAbsent(now, r, e, listed)
+	p.noteList(now, r, e)
 	p.pace(now, r)
 	p.changed = true
 }
@@ -121,6 +122,7 @@
 			continue
 		}
 		r.seen = end.Number
+		p.auditEnd(now, r, end)
 		entry := unacknowledged{number: end.Number}
 		if j := p.jobs[end.Task.Job]; j != nil {
 			entry.job = j
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -37,6 +37,8 @@
 	// resumed is true if this run went on from saved work.
 	resumed bool
 	runner  *runnerState
+	// latest is the latest run that may have begun.
+	latest RunRef
 	// avoid is where the last run failed.
 	avoid RunnerID
 
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -101,6 +101,7 @@
 // refused handles a start that surely did not take effect.
 func (p *Pool) refused(now time.Time, r *runnerState, t *task, call Call) {
 	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "startRefused", Reason: call.String(), DataAge: now.Sub(t.ordered)})
+	t.latest = RunRef{}
 	switch call {
 	case RefusedUnhealthy, RefusedBad, NotSent:
 		r.avoidUntil = now.Add(unhealthyPause)
@@ -139,6 +140,9 @@
 func (p *Pool) noteCall(now time.Time, r *runnerState, call Call, clock ClockReading) {
 	if call == Unknown || call == NotSent {
 		r.failedCalls++
+		if r.silentSince.IsZero() {
+			r.silentSince = now
+		}
 		return
 	}
 	if call == RefusedFence {
@@ -191,6 +195,7 @@
 			continue
 		}
 		p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "taskLost", Reason: reason, DataAge: now.Sub(r.answered)})
+		p.noteLost(now, t)
 		p.freeTask(now, t)
 	}
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -120,6 +120,7 @@
 	unheard, gone map[RunnerID]bool
 	arrivals      arrivals
 	runtimes      map[job.QueueName]*runtimes
+	lostRuns      map[runKey]lostRun
 
 	// planned is when the jobs were last ranked, ranked their order.
 	planned time.Time
@@ -148,6 +149,7 @@
 		gone:    map[RunnerID]bool{},
 
 		runtimes: map[job.QueueName]*runtimes{},
+		lostRuns: map[runKey]lostRun{},
 	}
 }
 
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -84,6 +84,9 @@
 	cordoned        bool
 	avoidUntil      time.Time
 	health          runnerHealth
+	// heard is when the runner last listed its tasks, silentSince when the first
+	// call without an answer since then came back.
+	heard, silentSince time.Time
 }
 
 func newRunnerState(r Runner) *runnerState {
@@ -162,6 +165,7 @@
 	r.count(t, 1)
 	r.used = r.used.Add(t.step.spec.Demand())
 	t.runner = r
+	t.latest = RunRef{Run: t.run, Runner: r.ID}
 }
 
 // acknowledge returns the highest end up to which all are stored.
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -96,6 +96,7 @@
 			delete(p.ended, id)
 		}
 	}
+	p.forgetLost(now, retention)
 }
 
 // State returns what callers are told of a job, and whether the owner knows it.
--- a/manager/load.go
+++ b/manager/load.go
@@ -43,8 +43,10 @@
 // load hands over all stored jobs, and then the changes.
 func (o *poolOwner) load(ctx context.Context) {
 	o.awaitFence(ctx)
+	o.tellFenced(ctx)
 	pause := newBackoff()
 	for ctx.Err() == nil {
+		began := time.Now()
 		present, version, err := o.loadJobs(ctx)
 		if err != nil {
 			o.m.logger.Warn("jobs are not loaded", "pool", o.name, "error", err)
@@ -52,6 +54,7 @@
 			continue
 		}
 		o.submit(&pool.JobsLoaded{Present: present, Version: pool.RowVersion(version)})
+		o.tellLoaded(len(present), began)
 		o.m.followFrom(ctx, jobTable, version, func() time.Duration { return jobFeedPause }, o.applyJobRows)
 		pause.Reset()
 	}
--- a/manager/meter.go
+++ b/manager/meter.go
@@ -23,11 +23,20 @@
 	Started(name job.PoolName, call pool.Call)
 	Ended(name job.PoolName, how pool.End)
 	Answered(operation string, status int, took time.Duration)
+	// Ordered measures a call to a runner.
+	Ordered(kind Order, call pool.Call, took time.Duration)
+	// DoneAgain counts a task that two runs have worked on, one of which was done.
+	DoneAgain(name job.PoolName)
+	// Silent sets how many runners do not answer, and how many tasks are on them.
+	Silent(name job.PoolName, runners, tasks int)
 }
 
 // noMeter counts nothing.
 type noMeter struct{}
 
-func (noMeter) Started(job.PoolName, pool.Call)     {}
-func (noMeter) Ended(job.PoolName, pool.End)        {}
-func (noMeter) Answered(string, int, time.Duration) {}
+func (noMeter) Started(job.PoolName, pool.Call)         {}
+func (noMeter) Ended(job.PoolName, pool.End)            {}
+func (noMeter) Answered(string, int, time.Duration)     {}
+func (noMeter) Ordered(Order, pool.Call, time.Duration) {}
+func (noMeter) DoneAgain(job.PoolName)                  {}
+func (noMeter) Silent(job.PoolName, int, int)           {}
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -51,7 +51,12 @@
 	writer  *writer
 
 	cordonedAt time.Time
-	done       chan struct{}
+	// began is when the ownership began, recovered and awaited what observe has told
+	// and seen of the recovery.
+	began     time.Time
+	recovered bool
+	awaited   []pool.RunnerID
+	done      chan struct{}
 }
 
 func newPoolOwner(m *Manager, name job.PoolName, tenure ownership.Tenure, cancel context.CancelFunc) *poolOwner {
@@ -59,6 +64,7 @@
 		m: m, name: name, shard: tenure.Shard, tenure: tenure, cancel: cancel,
 		inbox:   make(chan pool.Event, inboxSize),
 		queries: make(chan func(context.Context, *pool.Pool)),
+		began:   time.Now(),
 		done:    make(chan struct{}),
 	}
 	o.writer = newWriter(m.store, o, m.logger)
@@ -89,6 +95,7 @@
 // run reduces events until the context ends.
 func (o *poolOwner) run(ctx context.Context) {
 	defer close(o.done)
+	defer o.m.options.Meter.Silent(o.name, 0, 0)
 	p := pool.New(o.poolOptions(), time.Now())
 	o.begin(ctx, p)
 	go o.writer.run(ctx)
@@ -109,6 +116,7 @@
 		case <-ticker.C:
 			o.dropCordons(ctx, p)
 			o.reduce(ctx, p, pool.Ticked{})
+			o.observe(p)
 		case <-expire.C:
 			p.Expire(time.Now(), o.m.options.Retention)
 		}
@@ -131,12 +139,13 @@
 func (o *poolOwner) begin(ctx context.Context, p *pool.Pool) {
 	o.m.mu.Lock()
 	runners := o.m.runnersOf(o.name)
-	listed := !o.m.lastListed.IsZero()
+	listed := o.m.lastListed
 	o.m.mu.Unlock()
+	o.tellBegin(runners, listed)
 	if c := o.m.catalog.Get(); c != nil {
 		o.reduce(ctx, p, &pool.QueuesChanged{Queues: c.QueueSettings()})
 	}
-	if listed {
+	if !listed.IsZero() {
 		o.reduce(ctx, p, runners)
 	}
 }
@@ -201,6 +210,10 @@
 		go o.m.endShard(o.shard, e.Reason)
 	case *pool.Decided:
 		o.log(e)
+	case *pool.DoneAgain:
+		o.tellDoneAgain(e)
+	case *pool.RunnerAnswered:
+		o.tellAnswered(e)
 	}
 }
 
@@ -227,18 +240,24 @@
 		o.submit(&pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: pool.RefusedUnhealthy})
 		return
 	}
+	sent := time.Now()
 	answer, err := o.m.runners.Start(ctx, e)
-	if err != nil {
-		o.m.logger.Warn("start has no answer", "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID, "error", err)
+	took := o.observeCall(OrderStart, answer.Call, sent)
+	if err != nil || !answer.Call.Answered() {
+		o.m.logger.Warn("start has no answer", "pool", o.name, "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID,
+			"call", answer.Call.String(), "took", took, "until", time.Duration(e.Until), "error", err)
 	}
 	o.m.options.Meter.Started(o.name, answer.Call)
 	o.submit(answer)
 }
 
 func (o *poolOwner) stop(ctx context.Context, e *pool.StopTask) {
+	sent := time.Now()
 	answer, err := o.m.runners.Stop(ctx, e)
-	if err != nil {
-		o.m.logger.Warn("stop has no answer", "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID, "error", err)
+	took := o.observeCall(OrderStop, answer.Call, sent)
+	if err != nil || !answer.Call.Answered() {
+		o.m.logger.Warn("stop has no answer", "pool", o.name, "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID,
+			"call", answer.Call.String(), "took", took, "error", err)
 	}
 	o.submit(answer)
 }
@@ -249,9 +268,12 @@
 		o.submit(&pool.RunnerHeld{Runner: e.Runner.ID, Call: pool.Unknown, Sent: time.Now()})
 		return
 	}
+	sent := time.Now()
 	answer, err := o.m.runners.Hold(ctx, e)
-	if err != nil {
-		o.m.logger.Warn("hold has no answer", "runner", e.Runner.ID, "error", err)
+	took := o.observeCall(OrderHold, answer.Call, sent)
+	if err != nil || !answer.Call.Answered() {
+		o.m.logger.Warn("hold has no answer", "pool", o.name, "runner", e.Runner.ID, "call", answer.Call.String(), "took", took,
+			"until", time.Duration(e.Until), "acknowledged", e.Acknowledged, "error", err)
 	}
 	for _, end := range answer.Ended {
 		o.m.options.Meter.Ended(o.name, end.How)
