Name the runner whose life an upkeep or a move ends

A done end that was never listed could not be told from one that went with its runner: moveOrdered and upkeepOrdered named the instance alone.

Change: maintenance.Decided carries the runner.

--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -252,9 +252,11 @@
 // Decided is a decision to be logged.
 type Decided struct {
 	Instance InstanceID
-	What     string
-	Reason   string
-	DataAge  time.Duration
+	// Runner is the life of the instance that the decision ends, if it ends one.
+	Runner  pool.RunnerID
+	What    string
+	Reason  string
+	DataAge time.Duration
 }
 
 func (*ListInstances) isEffect() {}
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -323,7 +323,7 @@
 			continue
 		}
 		p.orders[id] = &order{instance: id, target: c.target, from: instance.Pool, runner: instance.Runner, sent: now, inFlight: true}
-		p.emit(&Decided{Instance: id, What: "moveOrdered", Reason: string(instance.Pool) + " to " + string(c.target), DataAge: now.Sub(p.listedAt)})
+		p.emit(&Decided{Instance: id, Runner: instance.Runner, What: "moveOrdered", Reason: string(instance.Pool) + " to " + string(c.target), DataAge: now.Sub(p.listedAt)})
 		p.emit(&OrderMove{Instance: id, Target: c.target})
 	}
 }
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -96,7 +96,7 @@
 	if before.Runner == "" || !over || p.orders[now.ID] != nil {
 		return
 	}
-	p.emit(&Decided{Instance: now.ID, What: "runnerGone", Reason: string(now.State)})
+	p.emit(&Decided{Instance: now.ID, Runner: before.Runner, What: "runnerGone", Reason: string(now.State)})
 	p.emit(&RunnerEnded{Pool: before.Pool, Runner: before.Runner})
 }
 
@@ -313,7 +313,7 @@
 
 func (p *Planner) orderUpkeep(now time.Time, w *waveState, i Instance) {
 	p.orders[i.ID] = &order{instance: i.ID, wave: w.Number, from: i.Pool, runner: i.Runner, sent: now, inFlight: true}
-	p.emit(&Decided{Instance: i.ID, What: "upkeepOrdered", Reason: "empty and due", DataAge: now.Sub(p.listedAt)})
+	p.emit(&Decided{Instance: i.ID, Runner: i.Runner, What: "upkeepOrdered", Reason: "empty and due", DataAge: now.Sub(p.listedAt)})
 	p.emit(&OrderUpkeep{Instance: i.ID, Wave: w.Number})
 }
 
--- a/manager/fleet.go
+++ b/manager/fleet.go
@@ -205,7 +205,7 @@
 	case *maintenance.StepDown:
 		go f.m.endShard(fleetShard, "a higher fencing token is known")
 	case *maintenance.Decided:
-		f.m.logger.Info(e.What, "instance", e.Instance, "reason", e.Reason, "dataAge", e.DataAge)
+		f.m.logger.Info(e.What, "instance", e.Instance, "runner", e.Runner, "reason", e.Reason, "dataAge", e.DataAge)
 	}
 }
 
