Tell changed registrations; test the lines and metrics of orders

Conclusion: tests hold the lines against their fields in virtual time, and the series against a manual reader.

--- a/manager/follow.go
+++ b/manager/follow.go
@@ -186,6 +186,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	before := m.registrationStates()
+	defer func() { m.tellRegistrations(before, m.registrationStates()) }()
 	if c.full {
 		for name := range m.registered {
 			m.unregister(now, name)
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,8 +27,9 @@
 	maxAwaitedTold = 20
 )
 
-// joinRunners returns the first ids, separated by spaces.
+// joinRunners returns the first ids in order, separated by spaces.
 func joinRunners(ids []pool.RunnerID, most int) string {
+	slices.Sort(ids)
 	var b strings.Builder
 	for i, id := range ids[:min(len(ids), most)] {
 		if i > 0 {
@@ -53,6 +55,40 @@
 		"runners", len(ids), "dataAge", time.Since(listed), "known", joinRunners(ids, maxRunnersTold))...)
 }
 
+// registrationStates maps the names of registered runners to whether they have
+// lapsed. The caller holds the lock.
+func (m *Manager) registrationStates() map[string]bool {
+	out := make(map[string]bool, len(m.registered))
+	for name, r := range m.registered {
+		out[name] = !r.lapsed.IsZero()
+	}
+	return out
+}
+
+// tellRegistrations tells which registrations have come, lapsed and gone.
+func (m *Manager) tellRegistrations(before, after map[string]bool) {
+	var added, lapsed, removed []pool.RunnerID
+	for name, isLapsed := range after {
+		wasLapsed, known := before[name]
+		switch {
+		case isLapsed && !wasLapsed:
+			lapsed = append(lapsed, pool.RunnerID(name))
+		case !isLapsed && (!known || wasLapsed):
+			added = append(added, pool.RunnerID(name))
+		}
+	}
+	for name := range before {
+		if _, known := after[name]; !known {
+			removed = append(removed, pool.RunnerID(name))
+		}
+	}
+	if len(added)+len(lapsed)+len(removed) == 0 {
+		return
+	}
+	m.logger.Info("registrations changed", "registered", len(after), "added", joinRunners(added, maxRunnersTold),
+		"lapsed", joinRunners(lapsed, maxRunnersTold), "removed", joinRunners(removed, maxRunnersTold))
+}
+
 // observe updates the gauges and tells when the owner has heard all runners, or
 // waits for none of them any more.
 func (o *poolOwner) observe(p *pool.Pool) {
@@ -65,9 +101,10 @@
 		o.awaited = p.Unresolved()
 		return
 	}
-	unheard := p.Unresolved()
+	unresolved := p.Unresolved()
 	o.m.logger.Info("owner recovered", "pool", o.name, "epoch", o.tenure.Epoch, "after", time.Since(o.began),
-		"lastAwaited", joinRunners(o.awaited, maxAwaitedTold), "unheard", len(unheard), "unheardRunners", joinRunners(unheard, maxAwaitedTold))
+		"awaited", joinRunners(o.awaited, maxAwaitedTold),
+		"unresolved", len(unresolved), "unresolvedRunners", joinRunners(unresolved, maxAwaitedTold))
 }
 
 // observeCall measures a call to a runner and returns how long it took.
--- /dev/null
+++ b/manager/observe_test.go
@@ -0,0 +1,212 @@
+package manager
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/ownership"
+	"bronzestair/core/pool"
+)
+
+// silentRunners take half a second for each order and do not answer, unless
+// answers is set.
+type silentRunners struct {
+	Runners
+	answers bool
+}
+
+var errSilent = errors.New("no answer")
+
+const orderTook = 500 * time.Millisecond
+
+func (r *silentRunners) result() (pool.Call, error) {
+	time.Sleep(orderTook)
+	if r.answers {
+		return pool.Done, nil
+	}
+	return pool.Unknown, errSilent
+}
+
+func (r *silentRunners) Start(_ context.Context, e *pool.StartTask) (*pool.TaskStarted, error) {
+	call, err := r.result()
+	return &pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call}, err
+}
+
+func (r *silentRunners) Stop(_ context.Context, e *pool.StopTask) (*pool.TaskStopped, error) {
+	call, err := r.result()
+	return &pool.TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call}, err
+}
+
+func (r *silentRunners) Hold(_ context.Context, e *pool.HoldRunner) (*pool.RunnerHeld, error) {
+	call, err := r.result()
+	return &pool.RunnerHeld{Runner: e.Runner.ID, Call: call}, err
+}
+
+// ordered is a call that a meterRecorder was told of.
+type ordered struct {
+	Kind Order
+	Call pool.Call
+	Took time.Duration
+}
+
+// meterRecorder keeps what it is told.
+type meterRecorder struct {
+	noMeter
+	mu     sync.Mutex
+	orders []ordered
+	again  []job.PoolName
+	silent [][2]int
+}
+
+func (m *meterRecorder) Ordered(kind Order, call pool.Call, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.orders = append(m.orders, ordered{kind, call, took})
+}
+
+func (m *meterRecorder) DoneAgain(name job.PoolName) { m.again = append(m.again, name) }
+
+func (m *meterRecorder) Silent(_ job.PoolName, runners, tasks int) {
+	m.silent = append(m.silent, [2]int{runners, tasks})
+}
+
+// observedOwner returns the owner of a pool, with the log that it writes.
+func observedOwner(t *testing.T, runners Runners, meter Meter) (*poolOwner, *bytes.Buffer) {
+	t.Helper()
+	var log bytes.Buffer
+	m := New(Options{Name: "entry-1", Logger: slog.New(slog.NewJSONHandler(&log, nil)), Meter: meter}, newMemory(), runners, nil, nil)
+	const name job.PoolName = "booking"
+	for range 100 {
+		for _, w := range m.tracker.Plan(time.Now(), []ownership.Shard{poolShard(name)}) {
+			if tenure, ok := m.tracker.Written(time.Now(), w, 41); ok {
+				return newPoolOwner(m, name, tenure, func() {}), &log
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("the pool is not taken over")
+	return nil, nil
+}
+
+// lines decodes a log without the fields that differ by run.
+func lines(t *testing.T, log *bytes.Buffer) []map[string]any {
+	t.Helper()
+	var out []map[string]any
+	for decoder := json.NewDecoder(log); decoder.More(); {
+		var line map[string]any
+		if err := decoder.Decode(&line); err != nil {
+			t.Fatal(err)
+		}
+		delete(line, "time")
+		out = append(out, line)
+	}
+	return out
+}
+
+var observedTask = job.TaskID{Job: testID, Step: 1, Index: 2}
+
+func TestOrdersWithoutAnswerAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		meter := &meterRecorder{}
+		o, log := observedOwner(t, &silentRunners{}, meter)
+		r := pool.Runner{ID: "r1"}
+		o.start(t.Context(), &pool.StartTask{Runner: r, Task: observedTask, Run: 2, Until: pool.RunnerClock(time.Minute)})
+		o.stop(t.Context(), &pool.StopTask{Runner: r, Task: observedTask, Run: 2})
+		o.hold(t.Context(), &pool.HoldRunner{Runner: r, Until: pool.RunnerClock(time.Hour), Acknowledged: 57})
+		task, took := observedTask.String(), float64(orderTook)
+		want(t, "lines", lines(t, log), []map[string]any{
+			{
+				"level": "WARN", "msg": "start has no answer", "pool": "booking", "job": string(testID), "task": task, "run": 2.0,
+				"runner": "r1", "call": "unknown", "took": took, "until": float64(time.Minute), "error": errSilent.Error(),
+			},
+			{
+				"level": "WARN", "msg": "stop has no answer", "pool": "booking", "job": string(testID), "task": task, "run": 2.0,
+				"runner": "r1", "call": "unknown", "took": took, "error": errSilent.Error(),
+			},
+			{
+				"level": "WARN", "msg": "hold has no answer", "pool": "booking", "runner": "r1", "call": "unknown",
+				"took": took, "until": float64(time.Hour), "acknowledged": 57.0, "error": errSilent.Error(),
+			},
+		})
+		want(t, "orders", meter.orders, []ordered{
+			{OrderStart, pool.Unknown, orderTook}, {OrderStop, pool.Unknown, orderTook}, {OrderHold, pool.Unknown, orderTook},
+		})
+	})
+}
+
+// TestAnsweredHoldsAreNotTold keeps the log bounded: an owner makes up to 2000
+// holds a second.
+func TestAnsweredHoldsAreNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		meter := &meterRecorder{}
+		o, log := observedOwner(t, &silentRunners{answers: true}, meter)
+		var holds sync.WaitGroup // side by side, while the ownership is valid
+		for range 20 {
+			holds.Go(func() { o.hold(t.Context(), &pool.HoldRunner{Runner: pool.Runner{ID: "r1"}}) })
+		}
+		holds.Wait()
+		want(t, "lines", len(lines(t, log)), 0)
+		want(t, "orders", len(meter.orders), 20)
+	})
+}
+
+func TestDuplicateIsAnAlarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		meter := &meterRecorder{}
+		o, log := observedOwner(t, nil, meter)
+		o.perform(t.Context(), &pool.DoneAgain{
+			Task: observedTask, Ended: pool.RunRef{Run: 2, Runner: "r1"}, Other: pool.RunRef{Run: 3, Runner: "r2"},
+			OtherDone: true, EndAge: 9 * time.Second,
+		})
+		want(t, "lines", lines(t, log), []map[string]any{{
+			"level": "WARN", "msg": "task was done twice", "pool": "booking", "job": string(testID), "task": observedTask.String(),
+			"run": 2.0, "runner": "r1", "otherRun": 3.0, "otherRunner": "r2", "otherDone": true, "endAgeMax": float64(9 * time.Second),
+		}})
+		want(t, "counted", meter.again, []job.PoolName{"booking"})
+	})
+}
+
+func TestRecoveryIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		meter := &meterRecorder{}
+		o, log := observedOwner(t, nil, meter)
+		p := pool.New(pool.Options{Pool: o.name, Fence: 41, Epoch: 2}, time.Now())
+		p.Reduce(time.Now(), &pool.RunnersListed{Runners: []pool.Runner{{ID: "r1"}, {ID: "r2"}}})
+		answer := func(id pool.RunnerID) {
+			p.Reduce(time.Now(), &pool.RunnerHeld{Runner: id, Call: pool.Done, Sent: time.Now()})
+			time.Sleep(tickInterval)
+			o.observe(p)
+		}
+		answer("r1")
+		want(t, "lines while a runner is awaited", len(lines(t, log)), 0)
+		answer("r2")
+		answer("r2")
+		want(t, "lines", lines(t, log), []map[string]any{{
+			"level": "INFO", "msg": "owner recovered", "pool": "booking", "epoch": float64(o.tenure.Epoch), "after": float64(2 * tickInterval),
+			"awaited": "r2", "unresolved": 0.0, "unresolvedRunners": "",
+		}})
+		p.Reduce(time.Now(), &pool.RunnerHeld{Runner: "r1", Call: pool.Unknown, Sent: time.Now()})
+		o.observe(p)
+		want(t, "silent runners", meter.silent, [][2]int{{0, 0}, {0, 0}, {0, 0}, {1, 0}})
+	})
+}
+
+func TestChangesOfRegistrationsAreTold(t *testing.T) {
+	var log bytes.Buffer
+	m := New(Options{Logger: slog.New(slog.NewJSONHandler(&log, nil))}, newMemory(), nil, nil, nil)
+	m.tellRegistrations(map[string]bool{"r1": false}, map[string]bool{"r1": false})
+	m.tellRegistrations(map[string]bool{"r1": false, "r2": false, "r3": true}, map[string]bool{"r2": true, "r3": false, "r4": false})
+	got := lines(t, &log)
+	want(t, "lines", len(got), 1)
+	want(t, "added", got[0]["added"], any("r3 r4"))
+	want(t, "lapsed", got[0]["lapsed"], any("r2"))
+	want(t, "removed", got[0]["removed"], any("r1"))
+}
