--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -100,6 +100,7 @@
 	if handled && !e.Truncated {
 		p.handleAbsent(now, r, e, listed)
 	}
+	p.noteList(now, r, e)
 	p.pace(now, r)
 	p.changed = true
 }
@@ -125,6 +126,7 @@
 			continue
 		}
 		r.seen = end.Number
+		p.auditEnd(now, r, end)
 		entry := unacknowledged{number: end.Number}
 		if j := p.jobs[end.Task.Job]; j != nil {
 			entry.job = j
--- a/core/pool/silent_test.go
+++ b/core/pool/silent_test.go
@@ -7,9 +7,9 @@
 	"bronzestair/core/job"
 )
 
-// silence lets calls to r1 fail for a time while r2 answers, and returns the
-// starts. The list of lives is read twice a second.
-func (r *rig) silence(d time.Duration, lives ...RunnerID) []string {
+// restartsWhileSilent lets calls to r1 fail until a task starts elsewhere, for the
+// given time at most, and returns the starts. Lives are listed twice a second.
+func (r *rig) restartsWhileSilent(d time.Duration, lives ...RunnerID) []string {
 	var again []string
 	for began := r.now; r.now.Sub(began) < d && len(again) == 0; {
 		effects := r.pass(100 * time.Millisecond)
@@ -46,7 +46,7 @@
 	step.Persistent = true
 	r := silentRig(t, step)
 	began := r.now
-	want(t, "start elsewhere", r.silence(8*time.Second, "r1", "r2"), []string{name(1, 0, 0).String() + " 2@r2"})
+	want(t, "start elsewhere", r.restartsWhileSilent(8*time.Second, "r1", "r2"), []string{name(1, 0, 0).String() + " 2@r2"})
 	if waited := r.now.Sub(began); waited < DefaultLease || waited > leaseBound(DefaultLease)+500*time.Millisecond {
 		t.Errorf("task was lost after %v, want just after the lease of %v", waited, DefaultLease)
 	}
@@ -57,7 +57,7 @@
 func TestDeadRunnerLosesItsTasks(t *testing.T) {
 	r := silentRig(t, oneTask())
 	began := r.now
-	want(t, "start elsewhere", r.silence(8*time.Second, "r2"), []string{name(1, 0, 0).String() + " 2@r2"})
+	want(t, "start elsewhere", r.restartsWhileSilent(8*time.Second, "r2"), []string{name(1, 0, 0).String() + " 2@r2"})
 	if waited := r.now.Sub(began); waited > leaseBound(DefaultLease)+500*time.Millisecond {
 		t.Errorf("task was lost after %v, want no later than the lease of %v", waited, DefaultLease)
 	}
@@ -76,7 +76,7 @@
 	for title, c := range cases {
 		t.Run(title, func(t *testing.T) {
 			r := silentRig(t, oneTask())
-			want(t, "starts while it is silent", r.silence(20*time.Second, "r1", "r2"), []string(nil))
+			want(t, "starts while it is silent", r.restartsWhileSilent(20*time.Second, "r1", "r2"), []string(nil))
 			end := EndedTask{Number: 1, Task: name(1, 0, 0), Run: 1, How: c.how}
 			want(t, "starts once it answers", starts(r.held("r1", nil, []EndedTask{end})), c.want)
 		})
@@ -88,7 +88,7 @@
 func TestUnregisteredRunnerIsCalledWhileItsTaskIsUnresolved(t *testing.T) {
 	r := silentRig(t, oneTask())
 	r.runners("r2")
-	r.silence(lostAfter+5*time.Second, "r1", "r2")
+	r.restartsWhileSilent(lostAfter+5*time.Second, "r1", "r2")
 	if holds := of[*HoldRunner](r.pass(3 * time.Second)); len(holds) != 1 || holds[0].Runner.ID != "r1" {
 		t.Errorf("holds = %v, want one of the silent runner", holds)
 	}
--- a/core/pool/takeover.go
+++ b/core/pool/takeover.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // takeover is what a new owner has yet to hear of its predecessors' runs. A run
 // that no runner has told of may have completed, so that its task must not be
@@ -70,6 +74,23 @@
 	return !p.inherits() || p.heardAll(func(r *runnerState) bool { return r.resolved })
 }
 
+// Unresolved returns the runners that have not answered to this owner, and the
+// awaited lives that are not registered.
+func (p *Pool) Unresolved() []RunnerID {
+	var out []RunnerID
+	for _, r := range p.runnerOrder {
+		if !r.resolved {
+			out = append(out, r.ID)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.takeover.awaited)) {
+		if p.runners[id] == nil {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // mayStart reports whether a step's tasks cannot run, and have not completed, under
 // a former owner. A persistent task does not complete: the leases' end is enough.
 func (p *Pool) mayStart(now time.Time, j *jobState, step *stepState) bool {
