--- a/core/pool/audit_test.go
+++ b/core/pool/audit_test.go
@@ -13,8 +13,8 @@
 	return of[T](append([]Effect(nil), r.pool.Reduce(r.now, e)...))
 }
 
-// silence lets the holds of a runner have no answer until its lease has expired.
-func (r *rig) silence(id RunnerID) {
+// unanswered lets the holds of a runner have no answer until its lease has expired.
+func (r *rig) unanswered(id RunnerID) {
 	for range 20 {
 		r.now = r.now.Add(500 * time.Millisecond)
 		r.send(&RunnerHeld{Runner: id, Call: Unknown, Sent: r.now.Add(-400 * time.Millisecond)})
@@ -43,7 +43,7 @@
 	r.held("r1", nil, nil)
 	r.started(r.store(id(1), false, oneTask()))
 	r.runners("r1", "r2")
-	r.silence("r1")
+	r.unanswered("r1")
 	r.pool.loseTasks(r.now, r.pool.runners["r1"], "leaseExpired", func(*task) bool { return true })
 	r.started(r.held("r2", nil, nil))
 	return r
@@ -97,7 +97,7 @@
 	r.held("r1", nil, nil)
 	r.started(r.store(id(1), false, oneTask()))
 	r.runners("r1", "r2")
-	r.silence("r1")
+	r.unanswered("r1")
 	r.pool.loseTasks(r.now, r.pool.runners["r1"], "leaseExpired", func(*task) bool { return true })
 	second := of[*StartTask](r.held("r2", nil, nil))
 	want(t, "second starts", len(second), 1)
@@ -113,7 +113,7 @@
 	r.held("r1", nil, nil)
 	r.started(r.store(id(1), false, oneTask()))
 	began := r.now
-	r.silence("r1")
+	r.unanswered("r1")
 	running := []RunningTask{{Task: name(1, 0, 0), Run: 1}}
 	got := audited[*RunnerAnswered](r, time.Second, r.lists("r1", running, nil))
 	want(t, "answers", got, []*RunnerAnswered{{
--- a/manager/observe_test.go
+++ b/manager/observe_test.go
@@ -180,6 +180,7 @@
 		o, log := observedOwner(t, nil, meter)
 		p := pool.New(pool.Options{Pool: o.name, Fence: 41, Epoch: 2}, time.Now())
 		p.Reduce(time.Now(), &pool.RunnersListed{Runners: []pool.Runner{{ID: "r1"}, {ID: "r2"}}})
+		p.Reduce(time.Now(), &pool.LivesListed{Alive: map[pool.RunnerID]bool{"r1": true, "r2": true}, Asked: time.Now()})
 		answer := func(id pool.RunnerID) {
 			p.Reduce(time.Now(), &pool.RunnerHeld{Runner: id, Call: pool.Done, Sent: time.Now()})
 			time.Sleep(tickInterval)
