--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -114,6 +114,9 @@
 // String returns the camel case name that logs use.
 func (c Call) String() string { return callNames[c] }
 
+// Answered reports whether the runner has answered at all.
+func (c Call) Answered() bool { return c != Unknown && c != NotSent }
+
 // TaskStarted answers StartTask.
 type TaskStarted struct {
 	Runner RunnerID
@@ -143,6 +146,8 @@
 	Born    time.Time
 	Running []RunningTask
 	Ended   []EndedTask
+	// Truncated is true if the runner may have more ends than it lists.
+	Truncated bool
 }
 
 // RunningTask is a task that a runner lists as running.
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -101,6 +101,7 @@
 // refused handles a start that surely did not take effect.
 func (p *Pool) refused(now time.Time, r *runnerState, t *task, call Call) {
 	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "startRefused", Reason: call.String(), DataAge: now.Sub(t.ordered)})
+	t.latest = RunRef{}
 	switch call {
 	case RefusedUnhealthy, RefusedBad, NotSent:
 		r.avoidUntil = now.Add(unhealthyPause)
@@ -139,6 +140,9 @@
 func (p *Pool) noteCall(now time.Time, r *runnerState, call Call, clock ClockReading) {
 	if call == Unknown || call == NotSent {
 		r.failedCalls++
+		if r.silentSince.IsZero() {
+			r.silentSince = now
+		}
 		return
 	}
 	if call == RefusedFence {
@@ -191,10 +195,27 @@
 			continue
 		}
 		p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "taskLost", Reason: reason, DataAge: now.Sub(r.answered)})
+		p.noteLost(now, t)
 		p.freeTask(now, t)
 	}
 }
 
+// expireLease frees the persistent tasks of a runner whose lease has ended. Others
+// may have completed before: they wait until the runner tells, or its life is over.
+func (p *Pool) expireLease(now time.Time, r *runnerState) {
+	p.loseTasks(now, r, "leaseExpired", func(t *task) bool { return t.step.spec.Persistent })
+	for _, t := range r.order {
+		if t.unresolved {
+			continue
+		}
+		t.unresolved = true
+		p.emit(&Decided{
+			Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "taskUnresolved",
+			Reason: "its lease has ended and the runner has not told how the run did", DataAge: now.Sub(r.answered),
+		})
+	}
+}
+
 // failJob fails a job whose task has used all attempts.
 func (p *Pool) failJob(now time.Time, t *task) {
 	p.conclude(now, t.job, job.Failed, "task "+t.id.String()+" used all attempts")
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -84,6 +84,9 @@
 	cordoned        bool
 	avoidUntil      time.Time
 	health          runnerHealth
+	// heard is when the runner last listed its tasks, silentSince when the first
+	// call without an answer since then came back.
+	heard, silentSince time.Time
 }
 
 func newRunnerState(r Runner) *runnerState {
@@ -123,6 +126,11 @@
 		!now.Before(r.avoidUntil) && r.health.admits(now, r.trials)
 }
 
+// silent reports whether the runner has not answered for a while.
+func (r *runnerState) silent(now time.Time) bool {
+	return r.failedCalls > 0 && now.Sub(r.answered) > silentAfter
+}
+
 func (r *runnerState) hasLabel(label string) bool { return slices.Contains(r.Labels, label) }
 
 // release takes a task off the runner.
@@ -162,13 +170,31 @@
 	r.count(t, 1)
 	r.used = r.used.Add(t.step.spec.Demand())
 	t.runner = r
+	t.latest = RunRef{Run: t.run, Runner: r.ID}
+}
+
+// saved reports whether what the end has changed is stored.
+func (e *unacknowledged) saved() bool {
+	return e.seq == 0 || e.job.savedSeq >= e.seq || e.job.closed
+}
+
+// unsavedEnds counts the ends that are not stored yet.
+func (r *runnerState) unsavedEnds() int {
+	n := 0
+	for i := range r.ends {
+		if !r.ends[i].saved() {
+			n++
+		}
+	}
+	return n
 }
 
 // acknowledge returns the highest end up to which all are stored.
 func (r *runnerState) acknowledge() int64 {
 	n := 0
-	for _, e := range r.ends {
-		if e.seq > 0 && e.job.savedSeq < e.seq && !e.job.closed {
+	for i := range r.ends {
+		e := &r.ends[i]
+		if !e.saved() {
 			break
 		}
 		r.acked = e.number
@@ -183,8 +209,7 @@
 	if len(r.ends) == 0 {
 		return false
 	}
-	e := r.ends[0]
-	return e.seq == 0 || e.job.savedSeq >= e.seq || e.job.closed
+	return r.ends[0].saved()
 }
 
 // apply implements Event.
@@ -213,12 +238,12 @@
 }
 
 func (p *Pool) updateRunner(now time.Time, listed Runner) {
-	delete(p.unheard, listed.ID)
 	r := p.runners[listed.ID]
 	if r == nil {
 		r = newRunnerState(listed)
 		r.listed = now
 		p.addRunner(r)
+		p.await(now, r.ID)
 		return
 	}
 	r.Runner = listed
@@ -227,6 +252,7 @@
 
 // apply implements Event.
 func (e *RunnerEnded) apply(p *Pool, now time.Time) {
+	delete(p.takeover.awaited, e.Runner)
 	r := p.runners[e.Runner]
 	if r == nil {
 		return
@@ -236,29 +262,6 @@
 	p.dropRunner(e.Runner)
 }
 
-// apply implements Event. Only runners that do not answer are taken for gone:
-// the list may lack a runner that has just begun.
-func (e *LivesListed) apply(p *Pool, now time.Time) {
-	if p.recovered(now) {
-		return
-	}
-	for _, r := range p.runnerOrder {
-		id := r.ID
-		if !e.Alive[id] && !r.resolved && r.failedCalls > 0 && r.listed.Before(e.Asked) {
-			p.emit(&Decided{Runner: id, What: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.Asked)})
-			(&RunnerEnded{Runner: id}).apply(p, now)
-			p.gone[id] = true
-		}
-	}
-	clear(p.unheard)
-	for id := range e.Alive {
-		if p.runners[id] == nil {
-			p.unheard[id] = true
-		}
-	}
-	p.changed = true
-}
-
 // apply implements Event.
 func (e *Cordoned) apply(p *Pool, _ time.Time) {
 	for _, r := range p.runnerOrder {
@@ -276,9 +279,9 @@
 	for _, r := range p.runnerOrder {
 		id := r.ID
 		if len(r.tasks) > 0 && now.After(r.leaseEnds) {
-			p.loseTasks(now, r, "leaseExpired", func(*task) bool { return true })
+			p.expireLease(now, r)
 		}
-		if now.After(r.leaseEnds) && !r.missing.IsZero() && !r.holding {
+		if len(r.tasks) == 0 && now.After(r.leaseEnds) && !r.missing.IsZero() && !r.holding {
 			p.dropRunner(id)
 		}
 	}
