Replay silent runners whose registration expires

What the tests replay: a runner whose registration expires while it is silent, and is back later, under one owner; a change of owner beside a silent runner whose registration expires soon after it or past all leases.

--- a/core/pool/twice_test.go
+++ b/core/pool/twice_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// TestDoneTaskIsNotStartedAgainWhileItsRunnerIsUnregistered replays a runner whose
+// registration expires, as it is silent, and is back later.
+func TestDoneTaskIsNotStartedAgainWhileItsRunnerIsUnregistered(t *testing.T) {
+	w := newWorld(t, 1, 2, faults{})
+	w.submit(1, lasting(1, time.Second))
+	w.run(300 * time.Millisecond)
+	silent := w.busy()[0]
+	w.cutOff(silent, 20*time.Second)
+	w.after(time.Second, func() { w.unregister(silent, 18*time.Second) })
+	w.finish(40 * time.Second)
+}
+
 // TestDoneTaskOfAnUnansweredStartIsNotStartedAgain replays a start that the runner
 // carries out while none of its answers arrives.
 func TestDoneTaskOfAnUnansweredStartIsNotStartedAgain(t *testing.T) {
@@ -128,12 +140,23 @@
 // TestNewOwnerWaitsForSilentRunners replays a change of owner while a runner on
 // which a task ends done is silent for longer than all leases.
 func TestNewOwnerWaitsForSilentRunners(t *testing.T) {
-	w := newWorld(t, 1, 2, faults{})
-	w.submit(1, lasting(1, 2*time.Second))
-	w.run(time.Second)
-	w.cutOff(w.busy()[0], 9*time.Second)
-	w.takeOver()
-	w.finish(20 * time.Second)
+	cases := map[string]struct{ missingAfter, missing time.Duration }{
+		"registered":           {},
+		"no longer registered": {100 * time.Millisecond, 7 * time.Second},
+		"registration expires": {6200 * time.Millisecond, 2 * time.Second},
+	}
+	for title, c := range cases {
+		t.Run(title, func(t *testing.T) {
+			w := newWorld(t, 1, 2, faults{})
+			w.submit(1, lasting(1, 2*time.Second))
+			w.run(time.Second)
+			silent := w.busy()[0]
+			w.cutOff(silent, 9*time.Second)
+			w.takeOver()
+			w.after(c.missingAfter, func() { w.unregister(silent, c.missing) })
+			w.finish(20 * time.Second)
+		})
+	}
 }
 
 // TestEndsBehindAnUnknownJobAreNotLost replays a new owner that loads a job only
