Store ends on runners that are to be emptied without delay

Suspected: instances wait for the progress of their last tasks to be stored, up to 0.8 s, before they move. Evidence: TestEndsOnACordonedRunnerAreStoredAtOnce failed before.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -137,6 +137,9 @@
 			return false
 		}
 		r.ends = append(r.ends, entry)
+		if r.cordoned || r.Draining {
+			r.saveEnds()
+		}
 		delete(r.strangers, end.Task)
 	}
 	return true
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -116,7 +116,9 @@
 	seq, savedSeq uint64
 	saving        bool
 	dirtySince    time.Time
-	outcome       job.State
+	// urgent is true if a change is to be stored without waiting for others.
+	urgent  bool
+	outcome job.State
 	// closed jobs have a stored outcome; only their running tasks are left.
 	closed bool
 	retry  time.Time
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -189,6 +189,15 @@
 	return n
 }
 
+// saveEnds asks for the ends to be stored at once: the runner is about to go.
+func (r *runnerState) saveEnds() {
+	for i := range r.ends {
+		if e := &r.ends[i]; !e.saved() {
+			e.job.urgent = true
+		}
+	}
+}
+
 // acknowledge returns the highest end up to which all are stored.
 func (r *runnerState) acknowledge() int64 {
 	n := 0
@@ -268,6 +277,7 @@
 		id := r.ID
 		if r.cordoned != e.Runners[id] {
 			r.cordoned = e.Runners[id]
+			r.saveEnds()
 			p.changed = true
 		}
 	}
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -9,16 +9,17 @@
 // saveRetry is the pause after a failed write to the store.
 const saveRetry = 250 * time.Millisecond
 
-// saveJobs emits the writes that are due: outcomes at once, progress in batches.
+// saveJobs emits the writes that are due: outcomes at once, and progress in batches
+// unless a runner that is to be emptied waits for it.
 func (p *Pool) saveJobs(now time.Time) {
 	for _, j := range p.jobOrder {
 		if j.saving || j.closed || j.seq == j.savedSeq || now.Before(j.retry) {
 			continue
 		}
-		if j.outcome == "" && now.Sub(j.dirtySince) < saveInterval {
+		if j.outcome == "" && !j.urgent && now.Sub(j.dirtySince) < saveInterval {
 			continue
 		}
-		j.saving = true
+		j.saving, j.urgent = true, false
 		if j.outcome != "" {
 			p.emit(&FinishJob{
 				Queue: j.record.Queue, ID: j.id(), Version: j.version, ProgressVersion: j.progressVersion,
--- a/core/pool/silent_test.go
+++ b/core/pool/silent_test.go
@@ -116,3 +116,25 @@
 	r.held("r1", []RunningTask{{Task: name(1, 0, 0), Run: 1}}, nil)
 	want(t, "known once it answers", r.pool.Report(r.now).Runners[0].Known, true)
 }
+
+// TestEndsOnACordonedRunnerAreStoredAtOnce replays a turn whose pool waited for
+// instances of another pool, which were empty but for ends that were not stored.
+func TestEndsOnACordonedRunnerAreStoredAtOnce(t *testing.T) {
+	ends := []EndedTask{{Number: 1, Task: name(1, 0, 0), Run: 1, How: EndDone}}
+	cordon := &Cordoned{Runners: map[RunnerID]bool{"r1": true}}
+	cases := map[string]func(*rig) []Effect{
+		"cordoned before": func(r *rig) []Effect { r.send(cordon); return r.held("r1", nil, ends) },
+		"cordoned after":  func(r *rig) []Effect { r.held("r1", nil, ends); return r.send(cordon) },
+	}
+	for title, end := range cases {
+		t.Run(title, func(t *testing.T) {
+			r := newRig(t, Options{})
+			r.runners("r1")
+			r.held("r1", nil, nil)
+			second := oneTask()
+			second.After = []int{0}
+			r.started(r.store(id(1), false, oneTask(), second))
+			want(t, "writes", len(of[*SaveJob](end(r))), 1)
+		})
+	}
+}
