--- /dev/null
+++ b/manager/resave_test.go
@@ -0,0 +1,54 @@
+package manager
+
+import (
+	"log/slog"
+	"testing"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+)
+
+// TestOwnProgressIsNotTakenForAnotherOwners replays a save whose answer is lost and
+// whose repeats a store in trouble refuses, until the progress has moved on.
+func TestOwnProgressIsNotTakenForAnotherOwners(t *testing.T) {
+	store := newMemory()
+	events := &recorder{}
+	w := newWriter(store, events, slog.New(slog.DiscardHandler))
+	record, value := testRecord()
+	go w.run(t.Context())
+	if result, err := w.accept(t.Context(), record, value); result != Stored {
+		t.Fatalf("accept = %v, %v, want stored", result, err)
+	}
+	const commits = 1 + refusedTries
+	store.mu.Lock()
+	store.commits = 0
+	store.fault = func(n int) (error, bool) {
+		switch {
+		case n == 1:
+			return errLost, true
+		case n <= commits:
+			return errRefused, false
+		}
+		return nil, false
+	}
+	store.mu.Unlock()
+	for seq, done := range [][]byte{{1}, {3}} {
+		next, err := newWrite(&pool.SaveJob{
+			Queue: "seats", ID: testID, Version: 1, Seq: uint64(seq),
+			Progress: &job.Progress{Done: map[string][]byte{"0.0": done}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.commit(t.Context(), []*write{next})
+	}
+	events.mu.Lock()
+	defer events.mu.Unlock()
+	changed := 0
+	for _, e := range events.events {
+		if _, ok := e.(*pool.OwnerChanged); ok {
+			changed++
+		}
+	}
+	want(t, "changes of the owner that were told", changed, 0)
+}
