--- /dev/null
+++ b/core/ownership/previous_test.go
@@ -0,0 +1,28 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPreviousHolderIsKnownAfterARefusedTakeover replays a store that refuses the
+// first attempt: the orders of the former holder still have to be kept apart.
+func TestPreviousHolderIsKnownAfterARefusedTakeover(t *testing.T) {
+	tracker := New("entry-1", "a:1", "y", start)
+	now := start
+	takeOver := func() Write {
+		t.Helper()
+		for range 200 {
+			now = now.Add(50 * time.Millisecond)
+			tracker.Observe(now, []Row{row("entry-2", 9)})
+			if writes := tracker.Plan(now, []Shard{shard}); len(writes) == 1 {
+				return writes[0]
+			}
+		}
+		t.Fatal("the shard is not taken over")
+		return Write{}
+	}
+	tracker.Failed(now, takeOver())
+	tenure, _ := tracker.Written(now, takeOver(), 10)
+	want(t, "previous holder", tenure.Previous, "entry-2")
+}
--- a/core/pool/life_test.go
+++ b/core/pool/life_test.go
@@ -129,20 +129,48 @@
 	want(t, "the new life is called", asked || r.pool.runners["r1"] != nil, true)
 }
 
-// TestNewOwnerDoesNotWaitForALifeThatNeverRegisters replays a change of owner while
-// an instance is up whose runner has no registration for a minute.
-func TestNewOwnerDoesNotWaitForALifeThatNeverRegisters(t *testing.T) {
+// TestNewOwnerDoesNotWaitForAMinute replays a change of owner while nothing tells
+// that a life is over, and no lease can still run.
+func TestNewOwnerDoesNotWaitForAMinute(t *testing.T) {
+	cases := map[string]struct {
+		list  bool
+		lives []RunnerID
+	}{
+		"lives cannot be listed":      {},
+		"a life that never registers": {true, []RunnerID{"r1", "r2"}},
+	}
+	for title, c := range cases {
+		t.Run(title, func(t *testing.T) {
+			r := newRig(t, Options{Epoch: 2, Loading: true})
+			r.runners("r1")
+			r.held("r1", nil, nil)
+			r.pass(leaseBound(DefaultLease) + time.Millisecond)
+			want(t, "fenced", r.pool.Fenced(r.now), true)
+			r.store(id(1), true, oneTask())
+			effects := r.send(&JobsLoaded{Present: map[job.ID]bool{id(1): true}, Version: 20})
+			for range 60 {
+				if c.list {
+					effects = append(effects, r.lives(c.lives...)...)
+				}
+				effects = append(effects, r.pass(time.Second)...)
+			}
+			want(t, "starts", starts(effects), []string{name(1, 0, 0).String() + " 10001@r1"})
+		})
+	}
+}
+
+// TestNewOwnerAwaitsRegistrationsThatItReadsLate replays a new process that a slow
+// store keeps from its first list of registrations. The instance of r2 is leaving.
+func TestNewOwnerAwaitsRegistrationsThatItReadsLate(t *testing.T) {
 	r := newRig(t, Options{Epoch: 2, Loading: true})
-	r.runners("r1")
-	r.lives("r1", "r2")
+	r.lives("r1")
+	r.pass(registrationLag + 100*time.Millisecond)
+	r.runners("r1", "r2")
 	r.held("r1", nil, nil)
-	r.pass(leaseBound(DefaultLease) + time.Millisecond)
-	want(t, "fenced", r.pool.Fenced(r.now), true)
+	want(t, "fenced before r2 has answered", r.pool.Fenced(r.now), false)
 	r.store(id(1), true, oneTask())
 	effects := r.send(&JobsLoaded{Present: map[job.ID]bool{id(1): true}, Version: 20})
-	for range 60 {
-		effects = append(effects, r.lives("r1", "r2")...)
-		effects = append(effects, r.pass(time.Second)...)
-	}
-	want(t, "starts within a minute", starts(effects), []string{name(1, 0, 0).String() + " 10001@r1"})
+	effects = append(effects, r.lives("r1")...)
+	effects = append(effects, r.pass(50*time.Millisecond)...)
+	want(t, "starts before r2 has answered", starts(effects), []string(nil))
 }
