--- a/core/pool/life_test.go
+++ b/core/pool/life_test.go
@@ -120,13 +120,13 @@
 	want(t, "start elsewhere", r.restartsWhileSilent(8*time.Second, "r2"), []string{name(1, 0, 0).String() + " 2@r2"})
 	r.runners("r2")
 	r.pass(time.Second)
-	r.runners("r1", "r2")
-	r.lives("r1", "r2")
-	asked := false
-	for _, h := range of[*HoldRunner](r.pass(time.Second)) {
-		asked = asked || h.Runner.ID == "r1"
+	effects := r.send(&RunnersListed{Runners: []Runner{{ID: "r1", Born: r.now}, {ID: "r2"}}})
+	effects = append(effects, r.lives("r1", "r2")...)
+	called := false
+	for _, h := range of[*HoldRunner](append(effects, r.pass(time.Second)...)) {
+		called = called || h.Runner.ID == "r1"
 	}
-	want(t, "the new life is called", asked || r.pool.runners["r1"] != nil, true)
+	want(t, "the new life is called", called, true)
 }
 
 // TestNewOwnerDoesNotWaitForAMinute replays a change of owner while nothing tells
