Let the estimate of a runner's clock fall behind, never run ahead

Cause: a lease ends on the runner's clock, which may be 2% slow. The owner allowed for that over the length of the lease, but advanced its estimate of the clock at full speed since the last reading: a minute after it, a persistent task started elsewhere 1.1 s before its lease had ended. Evidence: TestLeaseOfARunnerThatWasIdleForLongIsOver failed before.

--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -93,10 +93,9 @@
 	return &runnerState{Runner: r, tasks: map[job.TaskID]*task{}, strangers: map[job.TaskID]int{}}
 }
 
-// clockAt estimates the runner's clock at a local time, never ahead of it by
-// more than the drift since the last reading.
+// clockAt estimates the runner's clock at a local time. It is never ahead of it.
 func (r *runnerState) clockAt(now time.Time) RunnerClock {
-	return r.clock.Clock + RunnerClock(now.Sub(r.clock.At))
+	return r.clock.Clock + RunnerClock(float64(now.Sub(r.clock.At))*(1-clockDrift))
 }
 
 // grant returns the end of a lease on the runner's clock and notes it.
