Keep a task that a runner's new life lists

Cause: when a runner answered from a new life, all tasks that were confirmed before were given up, also one that this life had begun and listed. It was started elsewhere while it ran. Change: only the account of ends begins anew; tasks that the new life does not list go with the absent ones, as always.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -90,7 +90,7 @@
 		return
 	}
 	if !e.Born.IsZero() && !e.Born.Equal(r.born) {
-		p.reborn(now, r, e)
+		r.restart(e.Born)
 	}
 	r.fenced = true
 	handled := p.handleEnds(now, r, e.Ended)
@@ -105,14 +105,10 @@
 	p.changed = true
 }
 
-// reborn starts the account of a runner's new life.
-func (p *Pool) reborn(now time.Time, r *runnerState, e *RunnerHeld) {
-	if !r.born.IsZero() {
-		p.loseTasks(now, r, "runnerRestarted", func(t *task) bool {
-			return !t.confirmed.IsZero() && t.confirmed.Before(e.Sent)
-		})
-	}
-	r.born = e.Born
+// restart begins the account of a runner's new life. Tasks that this life does not
+// list are lost with the other absent ones.
+func (r *runnerState) restart(born time.Time) {
+	r.born = born
 	r.ends = nil
 	r.seen, r.acked = 0, 0
 	clear(r.strangers)
