Acknowledge an end that is listed again only once it is stored

Cause: a runner that was dropped and registered again lists its ends anew. One that was known already, a failure or the last of an occurrence, was acknowledged at once, although what it had changed could still wait for the store: if the owner died then, the next one did not know of it. Evidence: TestEndThatIsListedAgainIsStoredBeforeItIsAcknowledged (failed, last of an occurrence) failed before.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -146,7 +146,7 @@
 func (p *Pool) handleEnd(now time.Time, r *runnerState, j *jobState, end EndedTask) uint64 {
 	t := j.task(end.Task)
 	if t == nil {
-		return 0
+		return j.seq // of an occurrence that is done, which may not be stored yet
 	}
 	if j.closed {
 		if t.run == end.Run && t.runner == r {
@@ -229,9 +229,12 @@
 		t.avoid = r.ID
 		p.freeTask(now, t)
 	}
-	if t.step.spec.Persistent || t.state == done || t.job.outcome != "" || slices.Contains(t.failed, end.Run) {
+	if t.step.spec.Persistent {
 		return 0
 	}
+	if t.state == done || t.job.outcome != "" || slices.Contains(t.failed, end.Run) {
+		return t.job.seq
+	}
 	t.failed = append(t.failed, end.Run)
 	seq := t.job.touch(now)
 	if len(t.failed) >= p.queue(t.job.record.Queue).MaxAttempts {
