Settle once and for all what a new owner awaits

Change: lives are awaited until they are heard or over. The list ends only runners with tasks or awaited ones, and those that once answered only after 2 s of silence. An owner gives up on lives that it cannot reach after 30 s.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -100,6 +100,9 @@
 	if handled && !e.Truncated {
 		p.handleAbsent(now, r, e, listed)
 	}
+	if r.resolved {
+		p.takeover.heard(r.ID)
+	}
 	p.noteList(now, r, e)
 	p.pace(now, r)
 	p.changed = true
--- a/core/pool/life_test.go
+++ b/core/pool/life_test.go
@@ -106,11 +106,11 @@
 	r.lives("r1", "r2")
 	r.held("r1", nil, nil)
 	r.held("r2", nil, nil)
-	want(t, "recovered once all have answered", r.pool.Recovered(), true)
+	want(t, "recovered once all have answered", r.pool.Recovered(r.now), true)
 	r.runners("r2")
 	r.pass(leaseBound(DefaultLease) + time.Second)
 	r.lives("r1", "r2")
-	want(t, "recovered after a runner has left", r.pool.Recovered(), true)
+	want(t, "recovered after a runner has left", r.pool.Recovered(r.now), true)
 }
 
 // TestRunnerThatRestartsUnderItsIDIsUsedAgain replays a crash: the list of instances
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -116,8 +116,6 @@
 	tickets  map[string]*stepTickets
 	listed   bool
 	takeover takeover
-	// gone are the runners that are registered although their lives are over.
-	gone     map[RunnerID]bool
 	arrivals arrivals
 	runtimes map[job.QueueName]*runtimes
 	lostRuns map[runKey]lostRun
@@ -145,8 +143,7 @@
 		ended:    map[job.ID]job.Outcome{},
 		runners:  map[RunnerID]*runnerState{},
 		tickets:  map[string]*stepTickets{},
-		takeover: takeover{awaited: map[RunnerID]bool{}},
-		gone:     map[RunnerID]bool{},
+		takeover: takeover{awaited: map[RunnerID]bool{}, over: map[RunnerID]bool{}},
 
 		runtimes: map[job.QueueName]*runtimes{},
 		lostRuns: map[runKey]lostRun{},
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -52,7 +52,7 @@
 	if now.Sub(p.planned) > planAge {
 		p.plan(now)
 	}
-	recovered := p.Recovered() || p.leasesOver(now)
+	recovered := p.Recovered(now) || p.leasesOver(now)
 	var out []*jobState
 	for _, j := range p.ranked {
 		if j.ready > 0 && j.outcome == "" && (recovered || !j.inherited) {
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -40,7 +40,7 @@
 
 // Report returns the pool's load.
 func (p *Pool) Report(now time.Time) Report {
-	report := Report{Pool: p.options.Pool, Recovered: p.Recovered()}
+	report := Report{Pool: p.options.Pool, Recovered: p.Recovered(now)}
 	for _, r := range p.runnerOrder {
 		line := RunnerReport{
 			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now),
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -227,10 +227,9 @@
 	present := make(map[RunnerID]bool, len(e.Runners))
 	for _, listed := range e.Runners {
 		present[listed.ID] = true
-		if !p.gone[listed.ID] {
-			p.updateRunner(now, listed)
-		}
+		p.updateRunner(now, listed)
 	}
+	p.takeover.registered = true
 	for _, r := range p.runnerOrder {
 		id := r.ID
 		if present[id] || e.Stale {
@@ -260,7 +259,7 @@
 
 // apply implements Event.
 func (e *RunnerEnded) apply(p *Pool, now time.Time) {
-	delete(p.takeover.awaited, e.Runner)
+	p.takeover.end(e.Runner)
 	r := p.runners[e.Runner]
 	if r == nil {
 		return
--- a/core/pool/takeover.go
+++ b/core/pool/takeover.go
@@ -11,30 +11,52 @@
 // started again: neither a list of registrations, which may lack runners that
 // live, nor the end of a lease says how a run ended.
 type takeover struct {
-	// listed is true once the lives of instances are known as of the takeover.
-	listed bool
-	// awaited are the lives that may hold runs of a former owner.
+	// registered is true once a list of registrations was read, listed once the lives
+	// of instances are known as of the takeover.
+	registered, listed bool
+	// awaited are the lives that may hold runs of a former owner and have not told
+	// of them.
 	awaited map[RunnerID]bool
+	// over are the lives that are over, though they may still be registered.
+	over map[RunnerID]bool
 }
 
 // registrationLag bounds how much later than its registration a runner is known
 // here: a pause between two reads of the feed and a slow answer.
 const registrationLag = 1500 * time.Millisecond
 
-// await notes that a runner may hold runs of a former owner.
+// takeoverPatience bounds how long a new owner waits for lives that it cannot reach
+// for want of a registration, or for the list of lives. It is far above the outages
+// that the platform's operators tell of, which last up to 10 s.
+const takeoverPatience = 30 * time.Second
+
+// await notes that a runner may hold runs of a former owner: one of the first list
+// of registrations, or one that was registered about when the owner took over.
 func (p *Pool) await(now time.Time, id RunnerID) {
-	if p.options.Epoch > 1 && now.Sub(p.since) <= registrationLag {
-		p.takeover.awaited[id] = true
+	t := &p.takeover
+	if p.inherits() && !t.over[id] && (!t.registered || now.Sub(p.since) <= registrationLag) {
+		t.awaited[id] = true
 	}
 }
 
+// heard notes that a runner has told of all its runs, and will go on to.
+func (t *takeover) heard(id RunnerID) { delete(t.awaited, id) }
+
+// end notes that a life is over.
+func (t *takeover) end(id RunnerID) {
+	delete(t.awaited, id)
+	t.over[id] = true
+}
+
 // noteLives begins with all lives as of the takeover, and drops those that are over.
 func (p *Pool) noteLives(e *LivesListed) {
 	t := &p.takeover
 	if !t.listed {
 		t.listed = true
 		for id := range e.Alive {
-			t.awaited[id] = true
+			if r := p.runners[id]; r == nil || !r.resolved {
+				t.awaited[id] = true
+			}
 		}
 	}
 	for id := range t.awaited {
@@ -48,12 +70,13 @@
 func (p *Pool) inherits() bool { return p.options.Epoch > 1 }
 
 // heardAll reports whether every life of the takeover is over or meets a condition.
-func (p *Pool) heardAll(heard func(*runnerState) bool) bool {
-	if !p.listed || !p.takeover.listed {
+func (p *Pool) heardAll(now time.Time, heard func(*runnerState) bool) bool {
+	patient := now.Sub(p.since) <= takeoverPatience
+	if !p.listed || patient && !p.takeover.listed {
 		return false
 	}
 	for id := range p.takeover.awaited {
-		if r := p.runners[id]; r == nil || !heard(r) {
+		if r := p.runners[id]; r == nil && patient || r != nil && !heard(r) {
 			return false
 		}
 	}
@@ -67,11 +90,11 @@
 
 // Recovered reports whether it is known of every run of a former owner how it
 // ended. Only then tasks of inherited jobs may be started.
-func (p *Pool) Recovered() bool {
+func (p *Pool) Recovered(now time.Time) bool {
 	if p.loading || !p.listed {
 		return false
 	}
-	return !p.inherits() || p.heardAll(func(r *runnerState) bool { return r.resolved })
+	return !p.inherits() || p.heardAll(now, func(r *runnerState) bool { return r.resolved })
 }
 
 // Unresolved returns the runners that have not answered to this owner, and the
@@ -94,7 +117,7 @@
 // mayStart reports whether a step's tasks cannot run, and have not completed, under
 // a former owner. A persistent task does not complete: the leases' end is enough.
 func (p *Pool) mayStart(now time.Time, j *jobState, step *stepState) bool {
-	if !j.inherited || p.Recovered() {
+	if !j.inherited || p.Recovered(now) {
 		return true
 	}
 	return step.spec.Persistent && !p.loading && p.leasesOver(now)
@@ -107,13 +130,13 @@
 	if !p.inherits() || p.leasesOver(now) {
 		return true
 	}
-	return p.heardAll(func(r *runnerState) bool { return r.fenced })
+	return p.heardAll(now, func(r *runnerState) bool { return r.fenced })
 }
 
 // AwaitsLives reports whether the list of lives may settle what no runner tells:
 // after a takeover, or beside a runner that does not answer.
 func (p *Pool) AwaitsLives(now time.Time) bool {
-	if p.inherits() && !p.Recovered() {
+	if p.inherits() && !p.Recovered(now) {
 		return true
 	}
 	for _, r := range p.runnerOrder {
@@ -124,17 +147,24 @@
 	return false
 }
 
-// apply implements Event. Only runners that do not answer are taken for gone:
-// the list may lack a runner that has just begun.
+// apply implements Event. It settles only what waits for it.
 func (e *LivesListed) apply(p *Pool, now time.Time) {
 	for _, r := range p.runnerOrder {
-		if e.Alive[r.ID] || r.failedCalls == 0 || !r.listed.Before(e.Asked) || !r.answered.Before(e.Asked) {
+		if e.Alive[r.ID] || !r.quietSince(now, e.Asked) || len(r.tasks) == 0 && !p.takeover.awaited[r.ID] {
 			continue
 		}
 		p.emit(&Decided{Runner: r.ID, What: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.Asked)})
 		(&RunnerEnded{Runner: r.ID}).apply(p, now)
-		p.gone[r.ID] = true
 	}
 	p.noteLives(e)
 	p.changed = true
 }
+
+// quietSince reports whether a runner does not answer, and neither has since a list
+// of lives was asked for: the list may lack one that has just begun.
+func (r *runnerState) quietSince(now, asked time.Time) bool {
+	if r.failedCalls == 0 || !r.listed.Before(asked) || !r.answered.Before(asked) {
+		return false
+	}
+	return r.answered.IsZero() || r.silent(now)
+}
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -97,7 +97,7 @@
 	if o.recovered {
 		return
 	}
-	if o.recovered = p.Recovered(); !o.recovered {
+	if o.recovered = p.Recovered(time.Now()); !o.recovered {
 		o.awaited = p.Unresolved()
 		return
 	}
