Bound an owner's calls by its link, and weigh the link for ownership

Cause: an owner's bounds on calls (2,000 holds a second, 400 starts in flight, times its part of a core) know nothing of its link. What is late counts as lost, is stopped and sent again over new connections, which keeps the link full.

Owners that are not late open 10 to 16.

Ruled out: the table of runners. It is 81 to 86 KB/s received at every entry, owners or not, reads each 0.2 s or 0.8 s alike, since each heartbeat is a change; a sixth of a 4 Mbit/s link, in the direction that is not full. The store's transactions are 35 KB/s at most, callers 3 KB/s.

Change: the size of a process is its part of a core and its link (core/process). The bounds on calls follow from both; ownership goes by the scarcer of the two, and the other decides between equals. The claim has a new field, link; entries that lack it count as wide. On links of 10 Mbit/s and more the bounds are as before.

TestSmallLinkStaysBelowTimeouts: 2,336 calls late without the bound, 0 with it.

--- a/core/ownership/claim.go
+++ b/core/ownership/claim.go
@@ -1,6 +1,10 @@
 package ownership
 
-import "time"
+import (
+	"time"
+
+	"bronzestair/core/process"
+)
 
 // Claim is the stored form of an ownership.
 type Claim struct {
@@ -13,8 +17,8 @@
 	Epoch int `json:"epoch"`
 	// Released is true if the holder has given the shard up.
 	Released bool `json:"released,omitempty"`
-	// Share is the part of a core that the holder has; 0 means a full one.
-	Share float64 `json:"share,omitempty"`
+	// Size is what the holder has of its machine.
+	process.Size
 	// Renewed changes with each renewal.
 	Renewed uint64 `json:"renewed,omitempty"`
 }
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bronzestair/core/process"
 )
 
 // Shard names a part of the work that has one owner at a time.
@@ -43,11 +45,6 @@
 	// ageDivisor and ageDelay turn the age of a process into a part of its delay.
 	ageDivisor = 200
 	ageDelay   = 300 * time.Millisecond
-	// fullShare is the part of a core with which a process owns a pool of some
-	// 100 runners without falling behind; those that have less are kept back by up
-	// to shareDelay, so that larger ones own the pools while there are any.
-	fullShare  = 0.4
-	shareDelay = 1200 * time.Millisecond
 )
 
 // own is the state of a shard that this process owns.
@@ -80,8 +77,8 @@
 	vacant map[Shard]time.Time
 	// Passive processes renew nothing and take nothing over.
 	Passive bool
-	// Share is the part of a core that the process has; 0 means a full one.
-	Share float64
+	// Size is what the process has of its machine.
+	process.Size
 	// observed is when claims were last read.
 	observed time.Time
 }
@@ -192,15 +189,7 @@
 // restarted lately is not restarted again soon.
 func (t *Tracker) delay(now time.Time, shard Shard) time.Duration {
 	age := min(now.Sub(t.started)/ageDivisor, ageDelay)
-	return time.Duration(len(t.own))*spreadDelay + age + t.sizeDelay() + t.preference(shard)
-}
-
-// sizeDelay keeps processes back that have little processor time.
-func (t *Tracker) sizeDelay() time.Duration {
-	if t.Share <= 0 || t.Share >= fullShare {
-		return 0
-	}
-	return time.Duration((1 - t.Share/fullShare) * float64(shareDelay))
+	return time.Duration(len(t.own))*spreadDelay + age + sizeDelay(t.Size) + t.preference(shard)
 }
 
 // preference differs between processes, so that they begin with different shards.
@@ -210,7 +199,7 @@
 
 func (t *Tracker) takeOver(shard Shard) Write {
 	w := Write{Shard: shard, Begins: true, Claim: Claim{
-		Holder: t.holder, Address: t.address, Incarnation: t.incarnation, Epoch: 1, Share: t.Share,
+		Holder: t.holder, Address: t.address, Incarnation: t.incarnation, Epoch: 1, Size: t.Size,
 	}}
 	if s := t.seen[shard]; s != nil {
 		w.Expect = s.row.Version
@@ -249,37 +238,6 @@
 	}
 }
 
-// settleTime is how long a shard stays with its holder before a larger process
-// asks for it: each change of owner costs the pool a second.
-const settleTime = 4 * time.Second
-
-// largerFactor is how many times the holder's share makes a change of owner worth it.
-const largerFactor = 2
-
-// Request returns a shard that this process should have rather than its holder,
-// and the holder's address. Only processes that own nothing ask, and only those
-// that have enough processor time of ones that have not.
-func (t *Tracker) Request(now time.Time, shards []Shard) (Shard, string) {
-	if t.Passive || len(t.own) > 0 || t.sizeDelay() > 0 {
-		return "", ""
-	}
-	best, address := Shard(""), ""
-	for _, shard := range shards {
-		s := t.seen[shard]
-		if s == nil || s.row.Claim.Released || now.Sub(s.since) < settleTime {
-			continue
-		}
-		share := s.row.Claim.Share
-		if share == 0 || share >= fullShare || t.Share < largerFactor*share {
-			continue
-		}
-		if best == "" || t.preference(shard) < t.preference(best) {
-			best, address = shard, s.row.Claim.Address
-		}
-	}
-	return best, address
-}
-
 // Release returns the write that gives up one shard, if this process owns it.
 func (t *Tracker) Release(shard Shard) (Write, bool) {
 	o := t.own[shard]
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bronzestair/core/job"
+	"bronzestair/core/process"
 )
 
 // world runs a Pool in virtual time against model runners and a model store. It
@@ -38,7 +39,8 @@
 	reducing time.Duration
 	events   int
 	// holds counts the calls that ask runners for ends.
-	holds int
+	holds  int
+	uplink modelLink
 }
 
 // faults are the shares of calls that go wrong.
@@ -206,8 +208,15 @@
 }
 
 // deliver carries a call to a runner and its answer back, or loses either.
-func (w *world) deliver(r *modelRunner, do func() func(), lost func()) {
-	const oneWay = 2 * time.Millisecond
+func (w *world) deliver(r *modelRunner, size process.Bytes, do func() func(), lost func()) {
+	const timeout = 500 * time.Millisecond
+	oneWay := 2*time.Millisecond + w.uplink.pass(w.now, size)
+	if oneWay > timeout {
+		w.uplink.late++
+		w.after(oneWay, func() { do() })
+		w.after(timeout, lost)
+		return
+	}
 	chance := w.random.Float64()
 	f := w.faults
 	switch {
@@ -244,7 +253,7 @@
 	switch e := effect.(type) {
 	case *StartTask:
 		r := w.runner(e.Runner.ID)
-		w.deliver(r, func() func() {
+		w.deliver(r, startBytes, func() func() {
 			call := r.start(e)
 			return func() {
 				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading()})
@@ -252,7 +261,7 @@
 		}, func() { w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run}) })
 	case *StopTask:
 		r := w.runner(e.Runner.ID)
-		w.deliver(r, func() func() {
+		w.deliver(r, stopBytes, func() func() {
 			call := r.stop(e)
 			return func() {
 				w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading()})
@@ -262,7 +271,7 @@
 		w.holds++
 		r := w.runner(e.Runner.ID)
 		sent := w.now
-		w.deliver(r, func() func() {
+		w.deliver(r, holdBytes, func() func() {
 			held := r.hold(e)
 			held.Sent = sent
 			return func() { w.send(p, held) }
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -25,6 +25,7 @@
 	"bronzestair/core/maintenance"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
+	"bronzestair/core/process"
 	"bronzestair/core/table"
 	"bronzestair/io/owner"
 )
@@ -72,8 +73,8 @@
 	// Name is the entry's name, Address where it answers its peers.
 	Name    string
 	Address string
-	// Share is the part of a core that the entry has; 0 means a full one.
-	Share float64
+	// Size is what the entry has of its machine.
+	Size process.Size
 	// Advice is where advice on steps is to be had; it may be empty.
 	Advice string
 	// Retention is how long the outcome of a job is kept.
@@ -154,7 +155,7 @@
 	}
 	incarnation := newIncarnation()
 	m.tracker = ownership.New(o.Name, o.Address, incarnation, time.Now())
-	m.tracker.Share = o.Share
+	m.tracker.Size = o.Size
 	m.peers = owner.NewPeers(m, o.Logger)
 	m.store = newRelay(store, m.peers, m.otherEntries, o.Logger)
 	m.direct = newWriter(m.store, discard{}, o.Logger)
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -122,9 +122,8 @@
 	}
 	return pool.Options{
 		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
-		Lease: lease, HoldRate: int(pool.DefaultHoldRate * o.m.options.Share),
-		StartsInFlight: int(pool.DefaultStartsInFlight * o.m.options.Share),
-	}
+		Lease: lease,
+	}.Sized(o.m.options.Size)
 }
 
 // begin hands over what the entry knows already.
