Let late answers close an owner's bound on starts

Cause: the bound on starts in flight is an estimate by the size of the process.

A start that is answered after 0.2 s or not at all closes the bound, one that is answered earlier opens it again.

Ruled out: asking runners less often where many do not answer.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -51,7 +51,9 @@
 // behind reports whether the owner has to catch up with the answers to its starts.
 // It answers a turn that brings more than a small entry can order: an answer that
 // is read too late counts as none, and its task runs twice.
-func (p *Pool) behind() bool { return p.startsInFlight >= p.options.StartsInFlight }
+func (p *Pool) behind() bool {
+	return float64(p.startsInFlight) >= p.window.bound(p.options.StartsInFlight)
+}
 
 // widestRoom returns the most that any of the runners has left of each resource.
 func widestRoom(runners []*runnerState) job.Resources {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -125,8 +125,9 @@
 	planned time.Time
 	ranked  []*jobState
 	deposed bool
-	// startsInFlight counts the starts without an answer yet.
+	// startsInFlight counts the starts without an answer yet, window bounds them.
 	startsInFlight int
+	window         window
 	// changed is true if a task may have become placeable since the last dispatch.
 	changed bool
 	effects []Effect
--- a/core/pool/size_test.go
+++ b/core/pool/size_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -31,11 +30,11 @@
 	}
 }
 
-// TestSmallLinkStaysBelowTimeouts replays a turn of the grown Wrekin fleet with
-// links of 4 Mbit/s (trial, quiet-1, seed 5): 85 runners and 1,000 starts a second,
-// twice what the link carries. Starts that waited on it were answered after their
-// timeout, stopped, sent again, and made the queue longer.
-func TestSmallLinkStaysBelowTimeouts(t *testing.T) {
+// turnOnSmallLink replays a turn of the grown Wrekin fleet with links of 4 Mbit/s
+// (trial, quiet-1, seed 5): 85 runners and 1,000 starts a second, twice what the
+// link carries. Starts that waited on it were answered after their timeout,
+// stopped, sent again, and made the queue longer.
+func turnOnSmallLink(t *testing.T, size process.Size) *world {
 	const (
 		jobs = 500
 		turn = 4 * time.Second
@@ -43,7 +42,7 @@
 	w := newWorld(t, 5, 85, faults{})
 	w.cores = 16000
 	w.uplink.rate = 4 * process.Megabit
-	w.pool.options = w.pool.options.Sized(process.Size{Share: 0.8, Link: w.uplink.rate})
+	w.pool.options = w.pool.options.Sized(size)
 	w.listRunners()
 	spec := job.Spec{Steps: []job.Step{{
 		Count: 8, Resources: job.Resources{CPU: 2000, Memory: 2100}, EstimatedRuntime: 640 * time.Millisecond,
@@ -52,6 +51,44 @@
 		w.after(time.Duration(n)*turn/jobs, func() { w.submit(n, spec) })
 	}
 	w.run(30 * time.Second)
+	want(t, "jobs that are finished", len(w.finished), jobs)
+	return w
+}
+
+func TestSmallLinkStaysBelowTimeouts(t *testing.T) {
+	w := turnOnSmallLink(t, process.Size{Share: 0.8, Link: 4 * process.Megabit})
 	want(t, "calls without an answer in time", w.uplink.late, 0)
-	want(t, "jobs that are finished", fmt.Sprint(len(w.finished)), fmt.Sprint(jobs))
+}
+
+// TestLinkIsFoundByItsAnswers replays the same turn for an owner that does not
+// know its link. Without the window 2,336 calls are late.
+func TestLinkIsFoundByItsAnswers(t *testing.T) {
+	const most = 60
+	w := turnOnSmallLink(t, process.Size{Share: 0.8})
+	if w.uplink.late > most {
+		t.Errorf("%d calls without an answer in time, want at most %d", w.uplink.late, most)
+	}
+}
+
+func TestWindow(t *testing.T) {
+	const most = 320
+	var w window
+	for range 4 * most {
+		w.observe(500*time.Millisecond, most)
+	}
+	want(t, "bound while all answers are late", w.bound(most), float64(leastStarts))
+	for n := range 100 * most {
+		if n%10 == 0 {
+			w.observe(500*time.Millisecond, most)
+		} else {
+			w.observe(5*time.Millisecond, most)
+		}
+	}
+	if got := w.bound(most); got < 60 {
+		t.Errorf("bound with one slow answer in ten is %v, want at least 60", got)
+	}
+	for range most * most {
+		w.observe(5*time.Millisecond, most)
+	}
+	want(t, "bound while none is late", w.bound(most), float64(most))
 }
