Judge starts by the time of the call alone

Change: TaskStarted tells how long the call took by itself, from sending to answer; that closes the window.

--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -121,6 +121,8 @@
 	Run    int
 	Call   Call
 	Clock  ClockReading
+	// Took is how long the call took by itself, without waiting for the owner.
+	Took time.Duration
 }
 
 // TaskStopped answers StopTask.
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -71,7 +71,7 @@
 		return
 	}
 	t.inFlight = false
-	p.window.observe(now.Sub(t.ordered), p.options.StartsInFlight)
+	p.window.observe(e.Took, p.options.StartsInFlight)
 	t.unsure = t.unsure || e.Call == Unknown
 	switch {
 	case t.state == running || t.state == done:
--- a/core/pool/size_test.go
+++ b/core/pool/size_test.go
@@ -71,24 +71,28 @@
 }
 
 func TestWindow(t *testing.T) {
-	const most = 320
+	const (
+		most = 320
+		late = 500 * time.Millisecond
+		soon = 5 * time.Millisecond
+	)
 	var w window
 	for range 4 * most {
-		w.observe(500*time.Millisecond, most)
+		w.observe(late, most)
 	}
-	want(t, "bound while all answers are late", w.bound(most), float64(leastStarts))
+	want(t, "bound while all take long", w.bound(most), float64(most/leastPart))
 	for n := range 100 * most {
+		took := soon
 		if n%10 == 0 {
-			w.observe(500*time.Millisecond, most)
-		} else {
-			w.observe(5*time.Millisecond, most)
+			took = late
 		}
+		w.observe(took, most)
 	}
 	if got := w.bound(most); got < 60 {
-		t.Errorf("bound with one slow answer in ten is %v, want at least 60", got)
+		t.Errorf("bound while one in ten takes long is %v, want at least 60", got)
 	}
 	for range most * most {
-		w.observe(5*time.Millisecond, most)
+		w.observe(soon, most)
 	}
-	want(t, "bound while none is late", w.bound(most), float64(most))
+	want(t, "bound while none does", w.bound(most), float64(most))
 }
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -253,12 +253,15 @@
 	switch e := effect.(type) {
 	case *StartTask:
 		r := w.runner(e.Runner.ID)
+		sent := w.now
 		w.deliver(r, startBytes, func() func() {
 			call := r.start(e)
 			return func() {
-				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading()})
+				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: r.reading(), Took: w.now.Sub(sent)})
 			}
-		}, func() { w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run}) })
+		}, func() {
+			w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Took: w.now.Sub(sent)})
+		})
 	case *StopTask:
 		r := w.runner(e.Runner.ID)
 		w.deliver(r, stopBytes, func() func() {
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -226,7 +226,9 @@
 		o.submit(&pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: pool.RefusedUnhealthy})
 		return
 	}
+	sent := time.Now()
 	answer, err := o.m.runners.Start(ctx, e)
+	answer.Took = time.Since(sent)
 	if err != nil {
 		o.m.logger.Warn("start has no answer", "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID, "error", err)
 	}
