--- a/core/pool/link_test.go
+++ b/core/pool/link_test.go
@@ -1,6 +1,10 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"bronzestair/core/process"
+)
 
 const (
 	oneWay = 2 * time.Millisecond
@@ -47,9 +51,13 @@
 // between draws a duration.
 func (w *world) between(a, b time.Duration) time.Duration { return a + w.upTo(b-a) }
 
-// deliver carries a call to a runner and its answer back, or loses either.
-func (w *world) deliver(r *modelRunner, do func() func(), lost func(Call)) {
+// deliver carries a call of the given size to a runner and its answer back, or
+// loses either.
+func (w *world) deliver(r *modelRunner, size process.Bytes, do func() func(), lost func(Call)) {
 	p := w.passage(r)
+	if p.there += w.uplink.pass(w.now, size); p.there > callTimeout && w.uplink.rate > 0 {
+		w.uplink.late++
+	}
 	fail := func(after time.Duration) { w.after(after, func() { lost(Unknown) }) }
 	switch {
 	case p.refused:
--- a/core/pool/world_test.go
+++ b/core/pool/world_test.go
@@ -46,7 +46,8 @@
 	reducing time.Duration
 	events   int
 	// holds counts the calls that ask runners for ends.
-	holds int
+	holds  int
+	uplink modelLink
 }
 
 // faults are the shares of calls that go wrong.
@@ -184,15 +185,18 @@
 	switch e := effect.(type) {
 	case *StartTask:
 		r := w.runner(e.Runner.ID)
-		w.deliver(r, func() func() {
+		sent := w.now
+		w.deliver(r, startBytes, func() func() {
 			call, clock := r.start(e), r.clock()
 			return func() {
-				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: ClockReading{clock, w.now}})
+				w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: ClockReading{clock, w.now}, Took: w.now.Sub(sent)})
 			}
-		}, func(call Call) { w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call}) })
+		}, func(call Call) {
+			w.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Took: w.now.Sub(sent)})
+		})
 	case *StopTask:
 		r := w.runner(e.Runner.ID)
-		w.deliver(r, func() func() {
+		w.deliver(r, stopBytes, func() func() {
 			call, clock := r.stop(e), r.clock()
 			return func() {
 				w.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: call, Clock: ClockReading{clock, w.now}})
@@ -202,7 +206,7 @@
 		w.holds++
 		r := w.runner(e.Runner.ID)
 		sent := w.now
-		w.deliver(r, func() func() {
+		w.deliver(r, holdBytes, func() func() {
 			held := r.hold(e)
 			held.Sent = sent
 			return func() {
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -130,9 +130,8 @@
 	}
 	return pool.Options{
 		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
-		Lease: lease, HoldRate: int(pool.DefaultHoldRate * o.m.options.Share),
-		StartsInFlight: int(pool.DefaultStartsInFlight * o.m.options.Share),
-	}
+		Lease: lease,
+	}.Sized(o.m.options.Size)
 }
 
 // begin hands over what the entry knows already.
@@ -243,6 +242,7 @@
 	sent := time.Now()
 	answer, err := o.m.runners.Start(ctx, e)
 	took := o.observeCall(OrderStart, answer.Call, sent)
+	answer.Took = took
 	if err != nil || !answer.Call.Answered() {
 		o.m.logger.Warn("start has no answer", "pool", o.name, "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID,
 			"call", answer.Call.String(), "took", took, "until", time.Duration(e.Until), "error", err)
