--- a/core/pool/silent_test.go
+++ b/core/pool/silent_test.go
@@ -138,3 +138,12 @@
 		})
 	}
 }
+
+// TestListThatLagsDoesNotEndALife replays an instance that is listed late: one call
+// to its runner has failed, and the list does not have its life yet.
+func TestListThatLagsDoesNotEndALife(t *testing.T) {
+	r := silentRig(t, oneTask())
+	r.pass(silentAfter / 2)
+	want(t, "starts elsewhere", starts(r.lives("r2")), []string(nil))
+	want(t, "tasks on the runner", r.pool.runners["r1"].trials, 1)
+}
