Tell calls that were not sent from answers and failures

Cause: while an owner's claim was not valid, a start that it did not send counted as a refusal by the runner, which made a silent runner look heard, and a hold that it did not send as a failure of the runner. Evidence: TestWithheldCallsTellNothingOfARunner; before, such a start reset the count of failed calls and the time of the last answer.

--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -104,18 +104,20 @@
 	RefusedOther
 	// RefusedBad means that the runner did not understand the order.
 	RefusedBad
+	// Withheld means that the owner has not sent the call, as its claim was not valid.
+	Withheld
 )
 
 var callNames = [...]string{
 	"unknown", "done", "notSent", "refusedFence", "refusedOld", "refusedLate", "refusedRoom",
-	"refusedTicket", "refusedUnhealthy", "refusedOther", "refusedBad",
+	"refusedTicket", "refusedUnhealthy", "refusedOther", "refusedBad", "withheld",
 }
 
 // String returns the camel case name that logs use.
 func (c Call) String() string { return callNames[c] }
 
 // Answered reports whether the runner has answered at all.
-func (c Call) Answered() bool { return c != Unknown && c != NotSent }
+func (c Call) Answered() bool { return c != Unknown && c != NotSent && c != Withheld }
 
 // TaskStarted answers StartTask.
 type TaskStarted struct {
--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -79,6 +79,8 @@
 	p.noteCall(now, r, e.Call, e.Clock)
 	switch e.Call {
 	case Done:
+	case Withheld:
+		return
 	case Unknown, NotSent:
 		r.holdNext = now.Add(holdRetry * time.Duration(min(r.failedCalls, holdRetries)))
 		return
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -104,7 +104,7 @@
 	p.emit(&Decided{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, What: "startRefused", Reason: call.String(), DataAge: now.Sub(t.ordered)})
 	t.latest = RunRef{}
 	switch call {
-	case RefusedUnhealthy, RefusedBad, NotSent:
+	case RefusedUnhealthy, RefusedBad, NotSent, Withheld:
 		r.avoidUntil = now.Add(unhealthyPause)
 	case RefusedRoom, RefusedLate, RefusedOther:
 		r.avoidUntil = now.Add(unhealthyPause / 4)
@@ -139,6 +139,9 @@
 
 // noteCall updates what is known of a runner from the answer to any call.
 func (p *Pool) noteCall(now time.Time, r *runnerState, call Call, clock ClockReading) {
+	if call == Withheld {
+		return
+	}
 	if call == Unknown || call == NotSent {
 		r.failedCalls++
 		if r.silentSince.IsZero() {
--- a/core/pool/silent_test.go
+++ b/core/pool/silent_test.go
@@ -147,3 +147,20 @@
 	want(t, "starts elsewhere", starts(r.lives("r2")), []string(nil))
 	want(t, "tasks on the runner", r.pool.runners["r1"].trials, 1)
 }
+
+// TestWithheldCallsTellNothingOfARunner replays an owner whose claim was not valid for
+// a while: what it did not send is neither an answer nor a failure.
+func TestWithheldCallsTellNothingOfARunner(t *testing.T) {
+	r := silentRig(t, oneTask())
+	before := r.pool.runners["r1"].answered
+	r.now = r.now.Add(time.Second)
+	r.send(&RunnerHeld{Runner: "r1", Call: Withheld, Sent: r.now})
+	r.send(&TaskStarted{Runner: "r1", Task: name(9, 0, 0), Run: 1, Call: Withheld})
+	want(t, "failed calls", r.pool.runners["r1"].failedCalls, 1)
+	want(t, "last answer", r.pool.runners["r1"].answered, before)
+	freed := r.store(id(2), false, oneTask())
+	want(t, "start", starts(freed), []string{name(2, 0, 0).String() + " 1@r2"})
+	again := r.send(&TaskStarted{Runner: "r2", Task: name(2, 0, 0), Run: 1, Call: Withheld})
+	want(t, "start at once after a withheld one", starts(again), []string(nil))
+	want(t, "start after a pause", starts(r.pass(unhealthyPause)), []string{name(2, 0, 0).String() + " 2@r2"})
+}
--- a/manager/pool.go
+++ b/manager/pool.go
@@ -236,7 +236,7 @@
 
 func (o *poolOwner) start(ctx context.Context, e *pool.StartTask) {
 	if !o.m.valid(o.shard) {
-		o.submit(&pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: pool.RefusedUnhealthy})
+		o.submit(&pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, Call: pool.Withheld})
 		return
 	}
 	sent := time.Now()
@@ -265,7 +265,7 @@
 func (o *poolOwner) hold(ctx context.Context, e *pool.HoldRunner) {
 	if !o.m.valid(o.shard) {
 		sleep(ctx, tickInterval)
-		o.submit(&pool.RunnerHeld{Runner: e.Runner.ID, Call: pool.Unknown, Sent: time.Now()})
+		o.submit(&pool.RunnerHeld{Runner: e.Runner.ID, Call: pool.Withheld, Sent: time.Now()})
 		return
 	}
 	sent := time.Now()
