Take shards over only as of a recent read of claims

Cause: due counted the time since a claim was last seen to change up to the present, also while the store was not read. Entries therefore sent takeovers into an outage, one of which was carried out as the store returned, while the owner had gone on by Extend. The same held for claims of a former life, released claims and shards whose claim was never read. Why it works: a claim counts as unchanged as of the last read, and nothing is taken over if that read is over 700 ms old, a bit more than the 600 ms between two reads. Without any read there is no recent one.

Tests: TestOneValidOwner and observedOwner relied on takeovers without a read, and would have taken nothing over any more. Both read the empty store now.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -99,6 +99,10 @@
 // while the store was away.
 const observeGap = 1500 * time.Millisecond
 
+// readAge is how old the last read of claims may be for a takeover: a bit more
+// than the 600 ms between two reads.
+const readAge = 700 * time.Millisecond
+
 // Observe takes all claims as read from the store by a call that has ended, and
 // returns the shards that this process has lost.
 func (t *Tracker) Observe(now time.Time, rows []Row) (lost []Shard) {
@@ -170,11 +174,16 @@
 	return writes
 }
 
-// due reports whether this process may take a shard over now.
+// due reports whether this process may take a shard over now. A claim is free as
+// of a recent read only: a write into an outage of the store may be carried out
+// as it returns, while the owner has gone on by Extend.
 func (t *Tracker) due(now time.Time, shard Shard) bool {
+	if now.Sub(t.observed) > readAge {
+		return false
+	}
 	s := t.seen[shard]
 	switch {
-	case s == nil || s.row.Claim.Released || now.Sub(s.changed) > Term:
+	case s == nil || s.row.Claim.Released || t.observed.Sub(s.changed) > Term:
 	case s.row.Claim.Holder == t.holder && s.row.Claim.Incarnation != t.incarnation:
 		return true // a former life of this process
 	default:
--- a/core/ownership/ownership_test.go
+++ b/core/ownership/ownership_test.go
@@ -80,11 +80,15 @@
 		for i := range trackers {
 			trackers[i] = New(fmt.Sprintf("entry-%d", i), fmt.Sprintf("a:%d", i), fmt.Sprint(i), start)
 		}
-		for range rapid.IntRange(20, 200).Draw(rt, "steps") {
+		for range rapid.IntRange(40, 400).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(rt, "pause")) * time.Millisecond)
 			tracker := trackers[rapid.IntRange(0, 2).Draw(rt, "process")]
-			if version > 0 && rapid.Bool().Draw(rt, "reads") {
-				tracker.Observe(now, []Row{stored})
+			if rapid.Bool().Draw(rt, "reads") {
+				var rows []Row
+				if version > 0 {
+					rows = append(rows, stored)
+				}
+				tracker.Observe(now, rows)
 			}
 			for _, w := range tracker.Plan(now, []Shard{shard}) {
 				if rapid.IntRange(0, 3).Draw(rt, "reaches") == 0 || w.Expect != stored.Version {
--- a/manager/observe_test.go
+++ b/manager/observe_test.go
@@ -85,6 +85,7 @@
 	m := New(Options{Name: "entry-1", Logger: slog.New(slog.NewJSONHandler(&log, nil)), Meter: meter}, newMemory(), runners, nil, nil)
 	const name job.PoolName = "booking"
 	for range 100 {
+		m.tracker.Observe(time.Now(), nil)
 		for _, w := range m.tracker.Plan(time.Now(), []ownership.Shard{poolShard(name)}) {
 			if tenure, ok := m.tracker.Written(time.Now(), w, 41); ok {
 				return newPoolOwner(m, name, tenure, func() {}), &log
