Tell new owners of cancelled jobs before they are loaded

Cause: an owner followed the table of jobs only once it was fenced and had loaded, up to 5.2 s after its begin. Jobs that it had stored itself meanwhile were started, whatever peers had cancelled. Why it works: removals are followed from the owner's fence on, and all that it stores is newer. Stored rows are left to the load: the feed tells neither progress nor whether a former owner may have started a job, and a second JobStored of a known job changes nothing. The changes since the load's version are followed as before, in full, so that nothing between is missed; a removal that is told twice is harmless. A feed that ends as its context does is no longer logged as a failure.

--- a/manager/follow.go
+++ b/manager/follow.go
@@ -88,6 +88,8 @@
 		case errors.As(err, &failed) && failed.HistoryLost:
 			m.logger.Info("history of table is lost", "table", name, "after", after)
 			return
+		case ctx.Err() != nil:
+			return
 		default:
 			m.logger.Warn("changes of table are not read", "table", name, "error", err)
 			sleep(ctx, pause.NextBackOff())
--- a/manager/load.go
+++ b/manager/load.go
@@ -44,6 +44,9 @@
 
 // load hands over all stored jobs, and then the changes.
 func (o *poolOwner) load(ctx context.Context) {
+	removals, loaded := context.WithCancel(ctx)
+	defer loaded()
+	go o.followRemovals(removals)
 	o.awaitFence(ctx)
 	o.tellFenced(ctx)
 	pause := newBackoff()
@@ -56,12 +59,40 @@
 			continue
 		}
 		o.submit(&pool.JobsLoaded{Present: present, Version: pool.RowVersion(version)})
+		loaded() // the changes since the version are told again
 		o.tellLoaded(len(present), began)
 		o.m.followFrom(ctx, jobTable, version, func() time.Duration { return jobFeedPause }, o.applyJobRows)
 		pause.Reset()
 	}
 }
 
+// followRemovals tells of the jobs that go before all are loaded: peers cancel jobs
+// that this owner has stored and started meanwhile.
+func (o *poolOwner) followRemovals(ctx context.Context) {
+	after := table.Version(o.tenure.Fence) // all that this owner stores is newer
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		o.m.followFrom(ctx, jobTable, after, func() time.Duration { return jobFeedPause }, o.applyRemovals)
+		// The history is lost: what goes in between is missing in the load.
+		_, version, err := o.m.readPart(ctx, jobTable, "")
+		if err != nil {
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		after = version
+	}
+}
+
+// applyRemovals hands over removals alone: only the load knows whether a former
+// owner may have started a job, and what is done of it.
+func (o *poolOwner) applyRemovals(_ context.Context, c changes) {
+	for _, row := range c.rows {
+		if row.Removed {
+			o.submit(&pool.JobRemoved{ID: job.ID(row.Name)})
+		}
+	}
+}
+
 // awaitFence waits until no former owner can acknowledge ends.
 func (o *poolOwner) awaitFence(ctx context.Context) {
 	for fenced := false; !fenced && ctx.Err() == nil; {
--- /dev/null
+++ b/manager/load_test.go
@@ -0,0 +1,29 @@
+package manager
+
+import (
+	"testing"
+	"time"
+
+	"bronzestair/core/job"
+	"bronzestair/core/ownership"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+)
+
+// TestOnlyRemovalsAreToldBeforeTheLoad checks that a job of a former owner is not
+// taken from the feed, which tells neither its progress nor that it is inherited.
+func TestOnlyRemovalsAreToldBeforeTheLoad(t *testing.T) {
+	const name job.PoolName = "booking"
+	m := New(Options{Name: "entry-1"}, newMemory(), nil, nil, nil)
+	o := newPoolOwner(m, name, ownership.Tenure{Shard: poolShard(name), Epoch: 2, Fence: 5, Since: time.Now()}, func() {})
+	_, value := testRecord()
+	stored := table.Row{Key: jobKey(jobTable, "seats", testID), Value: value, Version: 7}
+	gone := table.Row{Key: jobKey(jobTable, "seats", "00000000000000bb"), Version: 8, Removed: true}
+	o.applyRemovals(t.Context(), changes{rows: []table.Row{stored, gone}})
+	close(o.inbox)
+	var got []pool.Event
+	for e := range o.inbox {
+		got = append(got, e)
+	}
+	want(t, "events", got, []pool.Event{&pool.JobRemoved{ID: "00000000000000bb"}})
+}
