Keep the previous holder of a shard after a refused takeover

What callers saw: nothing yet; found by review. Cause: Failed emptied the holder of the claim last seen, so that a claim of a former life is not asked for again at once. The tenure that followed had no previous holder. Evidence: TestPreviousHolderIsKnownAfterARefusedTakeover failed before ("" instead of "entry-2"). Why it works: a mark beside the claim says that it could not be replaced, and a newer claim clears it. The claim itself stays as stored. TestRefusedTakeoverOfFormerLifeWaits keeps what the empty holder was for.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -66,6 +66,8 @@
 	changed time.Time
 	// since is when this process first saw the holder's epoch.
 	since time.Time
+	// refused is true if this process has failed to replace the row.
+	refused bool
 }
 
 // Tracker follows the claims of all shards for one process. Use New.
@@ -132,7 +134,7 @@
 		if s.since.IsZero() || row.Claim.Epoch != s.row.Claim.Epoch {
 			s.since = now
 		}
-		s.row, s.changed = row, now
+		s.row, s.changed, s.refused = row, now, false
 	}
 	return t.note(row)
 }
@@ -190,7 +192,7 @@
 	s := t.seen[shard]
 	switch {
 	case s == nil || s.row.Claim.Released || t.observed.Sub(s.changed) > Term:
-	case s.row.Claim.Holder == t.holder && s.row.Claim.Incarnation != t.incarnation:
+	case s.row.Claim.Holder == t.holder && s.row.Claim.Incarnation != t.incarnation && !s.refused:
 		return true // a former life of this process
 	default:
 		delete(t.vacant, shard)
@@ -259,8 +261,7 @@
 	delete(t.vacant, w.Shard)
 	if s := t.seen[w.Shard]; s != nil && s.row.Version == w.Expect {
 		s.row.Claim.Released = false
-		s.changed = now
-		s.row.Claim.Holder = ""
+		s.changed, s.refused = now, true
 	}
 }
 
--- a/core/ownership/previous_test.go
+++ b/core/ownership/previous_test.go
@@ -26,3 +26,17 @@
 	tenure, _ := tracker.Written(now, takeOver(), 10)
 	want(t, "previous holder", tenure.Previous, "entry-2")
 }
+
+// TestRefusedTakeoverOfFormerLifeWaits checks that a claim of a former life is not
+// asked for again at once: the refused write may have taken effect.
+func TestRefusedTakeoverOfFormerLifeWaits(t *testing.T) {
+	tracker := New("entry-1", "a:1", "y", start)
+	tracker.Observe(start, []Row{row("entry-1", 9)})
+	writes := tracker.Plan(start, []Shard{shard})
+	want(t, "takeovers", len(writes), 1)
+	tracker.Failed(start, writes[0])
+	got := takesOver(tracker, row("entry-1", 9))
+	if got < Term || got > Term+400*time.Millisecond {
+		t.Errorf("taken over after %v, want %v and the delay of this process", got, Term)
+	}
+}
