Name the runner in lines about no task

What callers saw: lines such as runnerGone did not say which runner was meant. Cause: log wrote the runner only beside a task. Evidence: TestRunnerThatIsGoneIsNamed failed before. Why it works: a runner that a decision names is written with or without a task. Lines about a task keep their fields, in the same order.

--- a/manager/pool.go
+++ b/manager/pool.go
@@ -285,7 +285,10 @@
 func (o *poolOwner) log(e *pool.Decided) {
 	attributes := []any{"pool", o.name, "job", e.Job}
 	if e.Task.Job != "" {
-		attributes = append(attributes, "task", e.Task.String(), "run", e.Run, "runner", e.Runner)
+		attributes = append(attributes, "task", e.Task.String(), "run", e.Run)
+	}
+	if e.Task.Job != "" || e.Runner != "" {
+		attributes = append(attributes, "runner", e.Runner)
 	}
 	if e.Step != "" {
 		attributes = append(attributes, "step", e.Step)
