--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -63,6 +63,8 @@
 	changed time.Time
 	// since is when this process first saw the holder's epoch.
 	since time.Time
+	// refused is true if this process has failed to replace the row.
+	refused bool
 }
 
 // Tracker follows the claims of all shards for one process. Use New.
@@ -96,6 +98,10 @@
 // while the store was away.
 const observeGap = 1500 * time.Millisecond
 
+// readAge is how old the last read of claims may be for a takeover: a bit more
+// than the 600 ms between two reads.
+const readAge = 700 * time.Millisecond
+
 // Observe takes all claims as read from the store by a call that has ended, and
 // returns the shards that this process has lost.
 func (t *Tracker) Observe(now time.Time, rows []Row) (lost []Shard) {
@@ -106,24 +112,30 @@
 	}
 	t.observed = now
 	for _, row := range rows {
-		s := t.seen[row.Shard]
-		if s == nil {
-			s = &seen{}
-			t.seen[row.Shard] = s
-		}
-		if row.Version > s.row.Version {
-			if s.since.IsZero() || row.Claim.Epoch != s.row.Claim.Epoch {
-				s.since = now
-			}
-			s.row, s.changed = row, now
-		}
-		if t.note(row) {
+		if t.Meet(now, row) {
 			lost = append(lost, row.Shard)
 		}
 	}
 	return lost
 }
 
+// Meet takes one stored claim, such as one that a renewal has met, and reports
+// whether this process has lost its shard. It does not count as a read of claims.
+func (t *Tracker) Meet(now time.Time, row Row) bool {
+	s := t.seen[row.Shard]
+	if s == nil {
+		s = &seen{}
+		t.seen[row.Shard] = s
+	}
+	if row.Version > s.row.Version {
+		if s.since.IsZero() || row.Claim.Epoch != s.row.Claim.Epoch {
+			s.since = now
+		}
+		s.row, s.changed, s.refused = row, now, false
+	}
+	return t.note(row)
+}
+
 // note compares a stored row with an ownership of this process and reports
 // whether the ownership is over.
 func (t *Tracker) note(row Row) bool {
@@ -167,12 +179,17 @@
 	return writes
 }
 
-// due reports whether this process may take a shard over now.
+// due reports whether this process may take a shard over now. A claim is free as
+// of a recent read only: a write into an outage of the store may be carried out
+// as it returns, while the owner has gone on by Extend.
 func (t *Tracker) due(now time.Time, shard Shard) bool {
+	if now.Sub(t.observed) > readAge {
+		return false
+	}
 	s := t.seen[shard]
 	switch {
-	case s == nil || s.row.Claim.Released || now.Sub(s.changed) > Term:
-	case s.row.Claim.Holder == t.holder && s.row.Claim.Incarnation != t.incarnation:
+	case s == nil || s.row.Claim.Released || t.observed.Sub(s.changed) > Term:
+	case s.row.Claim.Holder == t.holder && s.row.Claim.Incarnation != t.incarnation && !s.refused:
 		return true // a former life of this process
 	default:
 		delete(t.vacant, shard)
@@ -233,8 +250,7 @@
 	delete(t.vacant, w.Shard)
 	if s := t.seen[w.Shard]; s != nil && s.row.Version == w.Expect {
 		s.row.Claim.Released = false
-		s.changed = now
-		s.row.Claim.Holder = ""
+		s.changed, s.refused = now, true
 	}
 }
 
