Number the runs of all jobs from the owner's epoch

Cause: a job that was stored after a takeover began with run 1 under the new owner. Evidence: TestRunsOfANewJobAreNumberedFromTheEpoch failed before.

--- a/core/pool/inherit_test.go
+++ b/core/pool/inherit_test.go
@@ -74,3 +74,12 @@
 	r.pass(leaseBound(DefaultLease) - DefaultLease + 1)
 	want(t, "after the leases have ended", r.pool.Fenced(r.now), true)
 }
+
+// TestRunsOfANewJobAreNumberedFromTheEpoch replays a former owner that learned too late
+// of its successor: both started a job that was stored after the takeover.
+func TestRunsOfANewJobAreNumberedFromTheEpoch(t *testing.T) {
+	r := newRig(t, Options{Epoch: 2})
+	r.runners("r1")
+	r.held("r1", nil, nil)
+	want(t, "start", starts(r.store(id(1), false, oneTask())), []string{name(1, 0, 0).String() + " 10001@r1"})
+}
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -150,9 +150,7 @@
 		record: e.Record, version: e.Version, progressVersion: e.ProgressVersion,
 		inherited: e.Inherited, chain: e.Record.Spec.Chain(), runtimes: p.runtimesOf(e.Record.Queue),
 	}
-	if j.inherited {
-		j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
-	}
+	j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
 	p.addJob(j)
 	if !j.inherited {
 		p.arrivals.add(now, j)
