Recognize stored progress of saves without an answer

What callers saw: owners stepped down for "another owner has written the progress of job" though nobody else had; the pool was without an owner until the next takeover. Cause: a save whose answer was lost and whose repeats were refused was told as failed, though it may have been stored. The next save expected the version before it and took the owner's own row for another owner's. TestProgressThatASaveMeets fails in its two cases of own progress without the comparison. Why it works: the writer keeps the progress of saves that failed unsure. A row with one of these values is its own: the save, or the outcome, is sent again with the row's version. They are forgotten once a save of the job succeeds, the job has ended or the row is another owner's.

--- /dev/null
+++ b/manager/settle.go
@@ -0,0 +1,112 @@
+package manager
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+)
+
+// unanswered remembers the progress of jobs that failed saves may have stored. The
+// zero value remembers none.
+type unanswered struct {
+	mu     sync.Mutex
+	values map[job.ID][][]byte
+}
+
+// note takes progress that may be stored.
+func (u *unanswered) note(id job.ID, value []byte) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.values == nil {
+		u.values = map[job.ID][][]byte{}
+	}
+	u.values[id] = append(u.values[id], value)
+}
+
+// has reports whether stored progress is of a failed save.
+func (u *unanswered) has(id job.ID, value []byte) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.ContainsFunc(u.values[id], func(v []byte) bool { return bytes.Equal(v, value) })
+}
+
+// forget drops a job whose stored progress is known.
+func (u *unanswered) forget(id job.ID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.values, id)
+}
+
+// settle reports on the writes whose conditions do not hold and returns the others,
+// and whether anything came of it.
+func (w *writer) settle(ctx context.Context, batch []*write, conflict *table.Conflict) (left []*write, settled bool) {
+	for _, next := range batch {
+		row, exists := conflict.Row(next.key(jobTable))
+		if next.accepted != nil {
+			if _, ended := conflict.Row(next.key(outcomeTable)); exists || ended {
+				next.answered <- acceptance{result: Stored} // the same job came before
+			} else {
+				left = append(left, next)
+			}
+			continue
+		}
+		progress, _ := conflict.Row(next.key(progressTable))
+		switch {
+		case !exists:
+			w.unanswered.forget(next.id)
+			w.settleEnded(ctx, next)
+		case row.Version == next.version && progress.Version == next.progressVersion:
+			left = append(left, next)
+		case !next.finished && bytes.Equal(progress.Value, next.value):
+			w.saved(next, progress.Version) // an earlier try took effect
+		case w.unanswered.has(next.id, progress.Value):
+			next.progressVersion = progress.Version // an earlier save took effect
+			left, settled = append(left, next), true
+		default:
+			w.unanswered.forget(next.id)
+			w.logger.Warn("job has another owner", "job", next.id, "queue", next.queue,
+				"expected", next.progressVersion, "found", progress.Version)
+			w.sink.submit(&pool.OwnerChanged{ID: next.id})
+		}
+	}
+	return left, settled || len(left) < len(batch)
+}
+
+// settleEnded reports on a write for a job that has an outcome already.
+func (w *writer) settleEnded(ctx context.Context, next *write) {
+	outcome, found, err := readOutcome(ctx, w.store, next.queue, next.id)
+	switch {
+	case err != nil:
+		w.logger.Warn("outcome is not read", "job", next.id, "error", err)
+		w.failed([]*write{next}, err)
+	case !found:
+		w.logger.Error("job has neither row nor outcome", "job", next.id)
+		w.failed([]*write{next}, nil)
+	default:
+		w.sink.submit(&pool.JobEnded{ID: next.id, Outcome: outcome})
+	}
+}
+
+// readOutcome returns the stored outcome of a job.
+func readOutcome(ctx context.Context, store Store, queue job.QueueName, id job.ID) (job.Outcome, bool, error) {
+	row, found, err := readRow(ctx, store, jobKey(outcomeTable, queue, id))
+	if err != nil || !found {
+		return job.Outcome{}, false, err
+	}
+	outcome, err := job.DecodeOutcome(row.Value)
+	return outcome, err == nil, err
+}
+
+// readRow returns one row.
+func readRow(ctx context.Context, store Store, key table.Key) (table.Row, bool, error) {
+	page, err := store.Rows(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
+	if err != nil || len(page.Rows) == 0 {
+		return table.Row{}, false, err
+	}
+	return page.Rows[0], true, nil
+}
--- /dev/null
+++ b/manager/settle_test.go
@@ -0,0 +1,54 @@
+package manager
+
+import (
+	"log/slog"
+	"testing"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/core/table"
+)
+
+// TestProgressThatASaveMeets checks what an owner makes of the stored progress after
+// a save without an answer: only what it wrote itself is its own.
+func TestProgressThatASaveMeets(t *testing.T) {
+	encode := func(done byte) []byte {
+		p := &job.Progress{Done: map[string][]byte{"0.0": {done}}}
+		value, err := p.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	own, others := encode(1), encode(2)
+	cases := []struct {
+		name   string
+		stored []byte
+		next   *write
+		events []pool.Event
+	}{
+		{"own progress, then more", own, &write{value: encode(3)}, []pool.Event{&pool.JobSaved{ID: testID, Version: 3}}},
+		{"own progress, then the outcome", own, &write{finished: true}, []pool.Event{&pool.JobSaved{ID: testID, Version: 3, Finished: true}}},
+		{"another owner's, then more", others, &write{value: encode(3)}, []pool.Event{&pool.OwnerChanged{ID: testID}}},
+		{"another owner's, then the outcome", others, &write{finished: true}, []pool.Event{&pool.OwnerChanged{ID: testID}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := newMemory()
+			for version, name := range []string{jobTable, progressTable} {
+				key := jobKey(name, "seats", testID)
+				store.version = table.Version(version + 1)
+				store.rows[key] = table.Row{Key: key, Value: c.stored, Version: store.version}
+			}
+			events := &recorder{}
+			w := newWriter(store, events, slog.New(slog.DiscardHandler))
+			w.failed([]*write{{id: testID, queue: "seats", value: own, unsure: true}}, errLost)
+			events.events = nil
+			c.next.id, c.next.queue, c.next.version = testID, "seats", 1
+			w.commit(t.Context(), []*write{c.next})
+			want(t, "events", events.events, c.events)
+			_, left := store.rows[jobKey(progressTable, "seats", testID)]
+			want(t, "progress row is left", left, !(c.next.finished && string(c.stored) == string(own)))
+		})
+	}
+}
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -1,7 +1,6 @@
 package manager
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -104,6 +103,8 @@
 	queues chan *write
 	// unsettled are the jobs that may be stored.
 	unsettled unsettled
+	// unanswered is the progress that may be stored.
+	unanswered unanswered
 	// ended is closed when the writer writes no more.
 	ended chan struct{}
 }
@@ -278,8 +279,8 @@
 			}
 			return
 		case errors.As(err, &conflict):
-			left := w.settle(ctx, batch, conflict)
-			if len(left) == len(batch) {
+			left, settled := w.settle(ctx, batch, conflict)
+			if !settled {
 				w.failed(batch, err)
 				return
 			}
@@ -306,6 +307,7 @@
 		next.answered <- acceptance{result: Stored}
 		return
 	}
+	w.unanswered.forget(next.id)
 	w.sink.submit(&pool.JobSaved{
 		ID: next.id, Seq: next.seq, Version: pool.RowVersion(version), Finished: next.finished,
 	})
@@ -322,70 +324,9 @@
 			next.answered <- acceptance{result: result, err: err}
 			continue
 		}
-		w.sink.submit(&pool.JobSaved{ID: next.id, Seq: next.seq, Failed: true})
-	}
-}
-
-// settle reports on the writes whose conditions do not hold and returns the others.
-func (w *writer) settle(ctx context.Context, batch []*write, conflict *table.Conflict) []*write {
-	var left []*write
-	for _, next := range batch {
-		row, exists := conflict.Row(next.key(jobTable))
-		if next.accepted != nil {
-			if _, ended := conflict.Row(next.key(outcomeTable)); exists || ended {
-				next.answered <- acceptance{result: Stored} // the same job came before
-			} else {
-				left = append(left, next)
-			}
-			continue
-		}
-		progress, _ := conflict.Row(next.key(progressTable))
-		switch {
-		case !exists:
-			w.settleEnded(ctx, next)
-		case row.Version == next.version && progress.Version == next.progressVersion:
-			left = append(left, next)
-		case !next.finished && bytes.Equal(progress.Value, next.value):
-			w.saved(next, progress.Version) // an earlier try took effect
-		default:
-			w.logger.Warn("job has another owner", "job", next.id, "queue", next.queue,
-				"expected", next.progressVersion, "found", progress.Version)
-			w.sink.submit(&pool.OwnerChanged{ID: next.id})
+		if next.unsure && !next.finished {
+			w.unanswered.note(next.id, next.value)
 		}
+		w.sink.submit(&pool.JobSaved{ID: next.id, Seq: next.seq, Failed: true})
 	}
-	return left
-}
-
-// settleEnded reports on a write for a job that has an outcome already.
-func (w *writer) settleEnded(ctx context.Context, next *write) {
-	outcome, found, err := readOutcome(ctx, w.store, next.queue, next.id)
-	switch {
-	case err != nil:
-		w.logger.Warn("outcome is not read", "job", next.id, "error", err)
-		w.failed([]*write{next}, err)
-	case !found:
-		w.logger.Error("job has neither row nor outcome", "job", next.id)
-		w.failed([]*write{next}, nil)
-	default:
-		w.sink.submit(&pool.JobEnded{ID: next.id, Outcome: outcome})
-	}
-}
-
-// readOutcome returns the stored outcome of a job.
-func readOutcome(ctx context.Context, store Store, queue job.QueueName, id job.ID) (job.Outcome, bool, error) {
-	row, found, err := readRow(ctx, store, jobKey(outcomeTable, queue, id))
-	if err != nil || !found {
-		return job.Outcome{}, false, err
-	}
-	outcome, err := job.DecodeOutcome(row.Value)
-	return outcome, err == nil, err
-}
-
-// readRow returns one row.
-func readRow(ctx context.Context, store Store, key table.Key) (table.Row, bool, error) {
-	page, err := store.Rows(ctx, key.Table, key.Part, key.Name, key.Name+"\x00")
-	if err != nil || len(page.Rows) == 0 {
-		return table.Row{}, false, err
-	}
-	return page.Rows[0], true, nil
 }
