Extend no ownership that had run out before an outage

Cause: an owner that the store had turned away for longer than the term, and whose shard a peer may have taken over, became valid again once the store was away for all: two owners at a time. Change: an ownership is extended only if it was still valid at the store's last answer to this entry or to a peer that answers. Evidence: TestOwnershipThatHasRunOutIsNotExtended; without the condition its second case is valid.

--- a/core/ownership/fresh_test.go
+++ b/core/ownership/fresh_test.go
@@ -57,3 +57,29 @@
 		want(t, "writes", len(tracker.Plan(last.Add(d), []Shard{shard})), 0)
 	}
 }
+
+// TestOwnershipThatHasRunOutIsNotExtended replays an owner that was kept from the
+// store before it went away for all: a peer may have taken its shard over.
+func TestOwnershipThatHasRunOutIsNotExtended(t *testing.T) {
+	cases := []struct {
+		name string
+		// answered is the store's last answer to anybody after the last renewal.
+		answered time.Duration
+		want     bool
+	}{
+		{"renewed until the outage", Term / 2, true},
+		{"run out before the outage", Term + 100*time.Millisecond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := New("entry-1", "a:1", "y", start)
+			tracker.Observe(start, nil)
+			write := Write{Shard: shard, Begins: true, Claim: Claim{Holder: "entry-1", Incarnation: "y", Epoch: 1}}
+			tracker.Written(start, write, 9)
+			for d := Term / 2; d < 4*Term; d += 300 * time.Millisecond {
+				tracker.Extend(start.Add(d), start.Add(c.answered))
+			}
+			want(t, "valid in the outage", tracker.Valid(start.Add(4*Term), shard), c.want)
+		})
+	}
+}
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -268,10 +268,12 @@
 // Drop ends an ownership of this process.
 func (t *Tracker) Drop(shard Shard) { delete(t.own, shard) }
 
-// Extend notes that at the given time nobody could have taken a shard over.
-func (t *Tracker) Extend(now time.Time) {
+// Extend notes that at the given time nobody could have taken a shard over, as the
+// store has answered nobody since its last answer. An ownership that had run out
+// by then is not extended: another process may have replaced its claim before.
+func (t *Tracker) Extend(now, answered time.Time) {
 	for _, o := range t.own {
-		if now.After(o.renewed) {
+		if now.After(o.renewed) && answered.Sub(o.renewed) < Term {
 			o.renewed = now
 		}
 	}
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -285,16 +285,21 @@
 		return
 	}
 	ages := m.peers.StoreAges(ctx, peers)
+	if len(ages) == 0 {
+		return
+	}
+	answered := m.store.Answered()
 	for _, age := range ages {
 		if age < outageAge {
 			return
 		}
+		if at := asked.Add(-age); at.After(answered) {
+			answered = at
+		}
 	}
-	if len(ages) > 0 {
-		m.mu.Lock()
-		m.tracker.Extend(asked)
-		m.mu.Unlock()
-	}
+	m.mu.Lock()
+	m.tracker.Extend(asked, answered)
+	m.mu.Unlock()
 }
 
 // dropInvalid ends the work of shards whose claim can no longer be trusted for long.
