Do not await a life again that has told of its runs

Cause: a runner that was heard and left before the instances could be listed was awaited once the list came, for up to 30 s. Evidence: TestRunnerThatLeftBeforeTheListIsNotAwaited failed before.

--- a/core/pool/hold.go
+++ b/core/pool/hold.go
@@ -103,7 +103,7 @@
 		p.handleAbsent(now, r, e, listed)
 	}
 	if r.resolved {
-		p.takeover.heard(r.ID)
+		p.takeover.settle(r.ID)
 	}
 	p.noteList(now, r, e)
 	p.pace(now, r)
--- a/core/pool/life_test.go
+++ b/core/pool/life_test.go
@@ -174,3 +174,16 @@
 	effects = append(effects, r.pass(50*time.Millisecond)...)
 	want(t, "starts before r2 has answered", starts(effects), []string(nil))
 }
+
+// TestRunnerThatLeftBeforeTheListIsNotAwaited replays a takeover while the instances
+// cannot be listed: a runner is heard and leaves before the list comes.
+func TestRunnerThatLeftBeforeTheListIsNotAwaited(t *testing.T) {
+	r := newRig(t, Options{Epoch: 2})
+	r.runners("r1", "r2")
+	r.held("r1", nil, nil)
+	r.held("r2", nil, nil)
+	r.runners("r2")
+	r.pass(leaseBound(DefaultLease) + time.Second)
+	r.lives("r1", "r2")
+	want(t, "recovered", r.pool.Recovered(r.now), true)
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -144,7 +144,7 @@
 		ended:    map[job.ID]job.Outcome{},
 		runners:  map[RunnerID]*runnerState{},
 		tickets:  map[string]*stepTickets{},
-		takeover: takeover{awaited: map[RunnerID]bool{}, over: map[RunnerID]bool{}},
+		takeover: takeover{awaited: map[RunnerID]bool{}, settled: map[RunnerID]bool{}},
 
 		runtimes: map[job.QueueName]*runtimes{},
 		lostRuns: map[runKey]lostRun{},
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -259,7 +259,7 @@
 
 // apply implements Event.
 func (e *RunnerEnded) apply(p *Pool, now time.Time) {
-	p.takeover.end(e.Runner)
+	p.takeover.settle(e.Runner)
 	r := p.runners[e.Runner]
 	if r == nil {
 		return
--- a/core/pool/takeover.go
+++ b/core/pool/takeover.go
@@ -17,8 +17,8 @@
 	// awaited are the lives that may hold runs of a former owner and have not told
 	// of them.
 	awaited map[RunnerID]bool
-	// over are the lives that are over, though they may still be registered.
-	over map[RunnerID]bool
+	// settled are the lives that have told, or are over.
+	settled map[RunnerID]bool
 }
 
 // registrationLag bounds how much later than its registration a runner is known
@@ -34,18 +34,15 @@
 // of registrations, or one that was registered about when the owner took over.
 func (p *Pool) await(now time.Time, id RunnerID) {
 	t := &p.takeover
-	if p.inherits() && !t.over[id] && (!t.registered || now.Sub(p.since) <= registrationLag) {
+	if p.inherits() && !t.settled[id] && (!t.registered || now.Sub(p.since) <= registrationLag) {
 		t.awaited[id] = true
 	}
 }
 
-// heard notes that a runner has told of all its runs, and will go on to.
-func (t *takeover) heard(id RunnerID) { delete(t.awaited, id) }
-
-// end notes that a life is over.
-func (t *takeover) end(id RunnerID) {
+// settle notes that a life has told of all its runs, or is over.
+func (t *takeover) settle(id RunnerID) {
 	delete(t.awaited, id)
-	t.over[id] = true
+	t.settled[id] = true
 }
 
 // noteLives begins with all lives as of the takeover, and drops those that are over.
@@ -54,7 +51,7 @@
 	if !t.listed {
 		t.listed = true
 		for id := range e.Alive {
-			if r := p.runners[id]; r == nil || !r.resolved {
+			if !t.settled[id] {
 				t.awaited[id] = true
 			}
 		}
