Mend four faults of the reducers that were found by reading

Causes, each with a test that failed first: - a gang in a queue that needs tickets never asked for any, as only steps without a gang reached ensureTickets (TestGangRequestsTickets); - a throttle order counted as a start order, so that the estimate of the remaining work began anew (TestThrottleKeepsTimeOfStart); - a pool that had stepped down applied one more event of each batch (TestPoolIgnoresEventsAfterStepDown); - slot.ConfirmLoan took a home slot out of use that was never lent (TestConfirmLoanNeedsWithheldSlot).

TestBatchOfEventsDispatchesOnce passed with a dispatch for each event as well. It is replaced by a stricter one: room for one task, the most urgent job last in the batch.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -80,11 +80,11 @@
 
 // placeStep starts the ready tasks of a step as far as capacity permits.
 func (p *Pool) placeStep(now time.Time, j *jobState, step *stepState, usable *[]*runnerState) {
-	if step.spec.Gang {
-		p.placeGang(now, step, *usable)
+	if !p.ensureTickets(now, j, step) {
 		return
 	}
-	if !p.ensureTickets(now, j, step) {
+	if step.spec.Gang {
+		p.placeGang(now, step, *usable)
 		return
 	}
 	var placements placementLog
--- a/core/pool/drain.go
+++ b/core/pool/drain.go
@@ -72,18 +72,22 @@
 
 func (p *Pool) adjustThrottle(now time.Time, r *runnerState, t *task, serving bool, worstRatio float64) {
 	throttle := t.throttle
+	lastOrder := t.throttledAt
+	if t.orderedAt.After(lastOrder) {
+		lastOrder = t.orderedAt
+	}
 	switch {
 	case !serving:
 		throttle = 0
-	case worstRatio > throttleAbove && now.Sub(t.orderedAt) > 2*minPollInterval:
+	case worstRatio > throttleAbove && now.Sub(lastOrder) > 2*minPollInterval:
 		throttle = min(maxThrottle, throttle+throttleStep)
-	case worstRatio < unthrottleBelow && now.Sub(t.orderedAt) > unthrottleInterval:
+	case worstRatio < unthrottleBelow && now.Sub(lastOrder) > unthrottleInterval:
 		throttle = max(0, throttle-unthrottleStep)
 	}
 	if throttle == t.throttle {
 		return
 	}
 	t.throttle = throttle
-	t.orderedAt = now
+	t.throttledAt = now
 	p.emit(&ThrottleTask{Runner: r.Runner, Task: t.id, Run: t.run, Percent: 100 - throttle, Fence: p.options.Fence})
 }
--- /dev/null
+++ b/core/pool/findings_test.go
@@ -0,0 +1,68 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"bronzestair/core/job"
+)
+
+// TestGangRequestsTickets guards against gangs that never start because their queue
+// needs tickets and only steps without a gang requested any.
+func TestGangRequestsTickets(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.send(&QueuesChanged{Queues: map[job.QueueName]QueueSettings{testQueue: {MaxAttempts: 3, RequiresTickets: true}}})
+	h.runners("r1", "r2")
+	h.answerPoll("r1", nil, nil)
+	h.answerPoll("r2", nil, nil)
+	step := singleTaskStep()
+	step.Count, step.Gang = 2, true
+	requests := effectsOf[*RequestTickets](h.storeJob(jobID(1), false, step))
+	want(t, "ticket requests", len(requests), 1)
+	if len(requests) == 0 {
+		return
+	}
+	starts := h.send(&TicketsReceived{Step: requests[0].Step, Tickets: map[RunnerID]string{"r2": "ticket"}, ValidFor: time.Minute})
+	want(t, "starts", describeStarts(starts), []string{jobText(1, 0) + " 1@r2", jobText(1, 1) + " 1@r2"})
+}
+
+// jobText formats a task of the first step of a job.
+func jobText(n, index int) string { return taskID(n, 0, index).String() }
+
+// TestThrottleKeepsTimeOfStart guards against a throttle order that counts as a new start
+// of the task in the estimate of the pool's remaining work.
+func TestThrottleKeepsTimeOfStart(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.runners("r1")
+	h.answerPoll("r1", nil, nil)
+	serving, filler := singleTaskStep(), singleTaskStep()
+	serving.Persistent, serving.LatencyTarget = true, 100*time.Millisecond
+	filler.BestEffort = true
+	h.confirmStarts(h.storeJob(jobID(1), false, serving))
+	h.confirmStarts(h.storeJob(jobID(2), false, filler))
+	startedAt := h.pool.jobs[jobID(2)].task(taskID(2, 0, 0)).orderedAt
+	h.now = h.now.Add(time.Second)
+	throttles := h.answerPoll("r1", []RunningTask{
+		{Task: taskID(1, 0, 0), Run: 1, ProgressPercent: 100, TailLatency: time.Second}, {Task: taskID(2, 0, 0), Run: 1},
+	}, nil)
+	want(t, "throttle orders", len(effectsOf[*ThrottleTask](throttles)), 1)
+	want(t, "time of the start order", h.pool.jobs[jobID(2)].task(taskID(2, 0, 0)).orderedAt, startedAt)
+	again := h.answerPoll("r1", []RunningTask{
+		{Task: taskID(1, 0, 0), Run: 1, ProgressPercent: 100, TailLatency: time.Second}, {Task: taskID(2, 0, 0), Run: 1},
+	}, nil)
+	want(t, "throttle orders right after the first", len(effectsOf[*ThrottleTask](again)), 0)
+}
+
+// TestPoolIgnoresEventsAfterStepDown guards against an owner that still changes its state,
+// or reports another effect, after a sign of a newer owner.
+func TestPoolIgnoresEventsAfterStepDown(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.runners("r1")
+	want(t, "step downs", len(effectsOf[*StepDown](h.send(&OwnerChanged{ID: jobID(9)}))), 1)
+	effects := h.pool.Reduce(h.now, &JobStored{Version: 11, Record: &job.Record{
+		Pool: testPool, Queue: testQueue, ID: jobID(1), Spec: job.Spec{Steps: []job.Step{singleTaskStep()}}, Accepted: h.now,
+	}})
+	want(t, "effects after the step down", len(effects), 0)
+	_, known := h.pool.State(jobID(1))
+	want(t, "job is known", known, false)
+}
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -44,7 +44,7 @@
 	// lastFailedOn is the runner of the last run that failed or stalled.
 	lastFailedOn RunnerID
 
-	orderedAt       time.Time // when the last order was sent
+	orderedAt       time.Time // when the last start or stop order was sent
 	orderCount      int       // orders of this run that were sent
 	inFlight        bool      // an order awaits its answer
 	orderUnanswered bool      // a start order of this run had no answer
@@ -57,7 +57,8 @@
 	progressPercent int
 	progressAt      time.Time // when the checkpoint or the percentage last changed
 	tailLatency     time.Duration
-	throttle        int // reduction of the speed, in percent of full speed
+	throttle        int       // reduction of the speed, in percent of full speed
+	throttledAt     time.Time // when the last throttle order was sent
 }
 
 // nextRun returns a run number that no owner has used for the task.
--- a/core/pool/limits_test.go
+++ b/core/pool/limits_test.go
@@ -39,22 +39,29 @@
 }
 
 // TestBatchOfEventsDispatchesOnce checks that events passed in together share one
-// dispatch.
+// dispatch: the runner has room for one task, which is that of the most urgent job of
+// the batch, although its event comes last.
 func TestBatchOfEventsDispatchesOnce(t *testing.T) {
 	h := newHarness(t, Options{})
+	h.send(&QueuesChanged{Queues: map[job.QueueName]QueueSettings{
+		testQueue: {MaxAttempts: 3, Stretch: 2, LatencyTarget: time.Second, Priority: 1},
+		"urgent":  {MaxAttempts: 3, Stretch: 2, LatencyTarget: time.Second},
+	}})
 	h.runners("r1")
 	h.answerPoll("r1", nil, nil)
+	step := singleTaskStep()
+	step.CPU = 16000
 	var events []Event
-	for n := range 3 {
+	for n, queue := range []job.QueueName{testQueue, testQueue, "urgent"} {
 		events = append(events, &JobStored{Version: 11, Record: &job.Record{
-			Pool: testPool, Queue: testQueue, ID: jobID(n + 1), Spec: job.Spec{Steps: []job.Step{singleTaskStep()}}, Accepted: h.now,
+			Pool: testPool, Queue: queue, ID: jobID(n + 1), Spec: job.Spec{Steps: []job.Step{step}}, Accepted: h.now,
 		}})
 	}
 	var started []string
 	for _, s := range effectsOf[*StartTask](h.pool.Reduce(h.now, events...)) {
 		started = append(started, fmt.Sprint(s.Task.Job))
 	}
-	want(t, "started jobs", started, []string{string(jobID(1)), string(jobID(2)), string(jobID(3))})
+	want(t, "started jobs", started, []string{string(jobID(3))})
 }
 
 // TestStartsInFlightAreLimited guards against overload of a small entry that owns a
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -132,8 +132,7 @@
 	// rankedAt is when the jobs were last ranked, ranked holds them in this order.
 	rankedAt time.Time
 	ranked   []*jobState
-	// steppedDown is true once this ownership has ended. Reduce then no longer places
-	// tasks, polls runners or saves jobs.
+	// steppedDown is true once this ownership has ended. Reduce then ignores events.
 	steppedDown bool
 	// startsInFlight counts the starts that await their answer, startWindow limits them.
 	startsInFlight int
@@ -171,10 +170,13 @@
 	clear(p.effects)
 	p.effects = p.effects[:0]
 	for _, event := range events {
-		event.apply(p, now)
 		if p.steppedDown {
 			return p.effects
 		}
+		event.apply(p, now)
+	}
+	if p.steppedDown {
+		return p.effects
 	}
 	if p.dispatchNeeded {
 		p.dispatchNeeded = false
--- a/core/slot/allocator.go
+++ b/core/slot/allocator.go
@@ -179,9 +179,10 @@
 	}
 }
 
-// ConfirmLoan records that a peer holds a loan from a previous incarnation.
+// ConfirmLoan records that a peer holds a loan from a previous incarnation. It does
+// nothing unless the slot is withheld.
 func (a *Allocator) ConfirmLoan(i Index, request BorrowRequestID, until time.Time) {
-	if a.home.Has(i) && a.lentRequest[i] == withheld {
+	if a.lent.Has(i) && a.lentRequest[i] == withheld {
 		a.markLent(i, request, until)
 	}
 }
--- a/core/slot/slot_test.go
+++ b/core/slot/slot_test.go
@@ -83,3 +83,14 @@
 		}
 	}
 }
+
+// TestConfirmLoanNeedsWithheldSlot guards against a peer's confirmation that takes a home
+// slot which was never lent out of use.
+func TestConfirmLoanNeedsWithheldSlot(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	a := slot.NewAllocator(slot.Mask(0b11), 2)
+	a.ConfirmLoan(1, 5, now.Add(time.Minute))
+	if diff := cmp.Diff(slot.Mask(0b11), a.Held()); diff != "" {
+		t.Errorf("held slots (-want +got):\n%s", diff)
+	}
+}
