Ignore the registrations of runners that have ended

Cause: a move or an upkeep ends a runner, the pool drops it, and the next list of registrations, which still has it for some 5 s, adds it as a new runner: the owner polls it in vain, opens connections and logs each poll.

Change: an ended incarnation is remembered for 10 s; a later incarnation under the same id, and a runner that is registered beyond that, are used. Without the check two cases of TestEndedRunnerIsNotUsedAgain fail.

--- a/core/pool/incarnation_test.go
+++ b/core/pool/incarnation_test.go
@@ -192,3 +192,34 @@
 	h.incarnations("r1", "r2")
 	want(t, "recovered", h.pool.Recovered(h.now), true)
 }
+
+// TestEndedRunnerIsNotUsedAgain guards against an owner that takes an ended incarnation
+// for a new runner because its registration has not expired yet. On the large Skywatch
+// site (trouble-1), 10,040 polls in 15 s had no answer, most of them to runners that a
+// move or an upkeep had ended.
+func TestEndedRunnerIsNotUsedAgain(t *testing.T) {
+	born := time.Unix(1, 0)
+	for _, c := range []struct {
+		name  string
+		born  time.Time
+		after time.Duration
+		polls int
+	}{
+		{"registration has not expired", born, time.Second, 0},
+		{"registration without start time", time.Time{}, time.Second, 0},
+		{"new incarnation under the same id", born.Add(time.Second), time.Second, 1},
+		{"still registered after the retention", born, endedRunnerRetention + time.Second, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, Options{})
+			list := func(born time.Time) []Effect {
+				return h.send(&RunnersListed{Runners: []Runner{{ID: "r1", Address: "r1", Capacity: job.Resources{CPU: 16000, Memory: 65536}, Born: born}}})
+			}
+			list(born)
+			h.answerPoll("r1", nil, nil)
+			h.send(&RunnerEnded{Runner: "r1"})
+			h.advance(c.after)
+			want(t, "polls", len(effectsOf[*PollRunner](list(c.born))), c.polls)
+		})
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -128,6 +128,9 @@
 	arrivals arrivals
 	runtimes map[job.QueueName]*runtimes
 	lostRuns map[runKey]lostRun
+	// endedRunners holds the incarnations that have terminated recently, whose
+	// registrations may still be listed.
+	endedRunners map[RunnerID]endedRunner
 
 	// rankedAt is when the jobs were last ranked, ranked holds them in this order.
 	rankedAt time.Time
@@ -159,6 +162,8 @@
 
 		runtimes: map[job.QueueName]*runtimes{},
 		lostRuns: map[runKey]lostRun{},
+
+		endedRunners: map[RunnerID]endedRunner{},
 	}
 }
 
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -258,8 +258,48 @@
 	}
 }
 
+// endedRunnerRetention is how long the registration of an ended runner is ignored. A
+// registration normally expires after three heartbeats without a report, about 5 s.
+const endedRunnerRetention = 10 * time.Second
+
+// endedRunner is an incarnation that has terminated.
+type endedRunner struct {
+	born, endedAt time.Time
+}
+
+// hasEnded reports whether a registration is that of an incarnation that has terminated.
+func (p *Pool) hasEnded(now time.Time, listed *Runner) bool {
+	ended, ok := p.endedRunners[listed.ID]
+	if !ok {
+		return false
+	}
+	if now.Sub(ended.endedAt) > endedRunnerRetention || listed.Born.After(ended.born) {
+		delete(p.endedRunners, listed.ID)
+		return false
+	}
+	return true
+}
+
+// recordEnded remembers that a runner has terminated and drops what is older than the
+// retention.
+func (p *Pool) recordEnded(now time.Time, r *runnerState) {
+	for id, ended := range p.endedRunners {
+		if now.Sub(ended.endedAt) > endedRunnerRetention {
+			delete(p.endedRunners, id)
+		}
+	}
+	born := r.Born
+	if r.born.After(born) {
+		born = r.born
+	}
+	p.endedRunners[r.ID] = endedRunner{born: born, endedAt: now}
+}
+
 func (p *Pool) updateRunner(now time.Time, listed Runner) {
 	r := p.runners[listed.ID]
+	if r == nil && p.hasEnded(now, &listed) {
+		return
+	}
 	if r == nil {
 		r = newRunnerState(listed)
 		r.firstListed = now
@@ -280,6 +320,7 @@
 	}
 	p.unassignLost(now, r, "runnerEnded", func(*task) bool { return true })
 	clear(r.unknownRuns)
+	p.recordEnded(now, r)
 	p.dropRunner(e.Runner)
 }
 
