Count lost answers and refusals of a write apart; drop vanished jobs

Causes, each with a test that failed first: - writer.commit counted lost answers and conflicts against the limit of refusals, so that one refusal after four lost answers failed a new job (TestLostAnswersDoNotCountAsRefusals); - a job of which the store has neither row nor outcome was saved again every 250 ms without end; it is now dropped once a write shows it (TestVanishedJobIsReportedOnce, TestVanishedJobIsDropped).

--- a/core/pool/findings_test.go
+++ b/core/pool/findings_test.go
@@ -66,3 +66,18 @@
 	_, known := h.pool.State(jobID(1))
 	want(t, "job is known", known, false)
 }
+
+// TestVanishedJobIsDropped guards against an owner that tries without end to save a job
+// of which the store has neither the row nor the outcome.
+func TestVanishedJobIsDropped(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.runners("r1")
+	h.answerPoll("r1", nil, nil)
+	h.confirmStarts(h.storeJob(jobID(1), false, singleTaskStep()))
+	effects := h.send(&JobVanished{ID: jobID(1)})
+	want(t, "stops", len(effectsOf[*StopTask](effects)), 1)
+	h.answerPoll("r1", nil, []EndedTask{{Number: 1, Task: taskID(1, 0, 0), Run: 1, Result: RunStopped}})
+	want(t, "writes", len(effectsOf[*FinishJob](h.advance(time.Minute))), 0)
+	_, known := h.pool.State(jobID(1))
+	want(t, "job is known", known, false)
+}
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -144,6 +144,25 @@
 	p.emit(&LookUpOutcome{Queue: j.record.Queue, ID: e.ID})
 }
 
+// JobVanished reports that the store has neither a job's row nor its outcome.
+type JobVanished struct {
+	ID job.ID
+}
+
+// apply implements Event. The job is dropped, as its progress can no longer be stored.
+func (e *JobVanished) apply(p *Pool, now time.Time) {
+	j := p.jobs[e.ID]
+	if j == nil || j.closed {
+		return
+	}
+	if j.outcome == "" {
+		p.endJob(now, j, job.Cancelled, "the store has neither its row nor its outcome")
+	}
+	j.saving, j.closed = false, true
+	p.dropIfIdle(j)
+	p.dispatchNeeded = true
+}
+
 // OwnerChanged reports that another owner has written a job's progress.
 type OwnerChanged struct {
 	ID job.ID
--- a/manager/conflict.go
+++ b/manager/conflict.go
@@ -87,7 +87,7 @@
 		w.reportFailed([]*write{pending}, err)
 	case !found:
 		w.logger.Error("job has neither row nor outcome", "job", pending.id)
-		w.reportFailed([]*write{pending}, nil)
+		w.sink.submit(&pool.JobVanished{ID: pending.id})
 	default:
 		w.sink.submit(&pool.JobEnded{ID: pending.id, Outcome: outcome})
 	}
--- a/manager/conflict_test.go
+++ b/manager/conflict_test.go
@@ -53,3 +53,12 @@
 		})
 	}
 }
+
+// TestVanishedJobIsReportedOnce guards against a save that is retried without end because
+// the store has neither the job's row nor its outcome.
+func TestVanishedJobIsReportedOnce(t *testing.T) {
+	store, events := newMemoryStore(), &eventRecorder{}
+	w := newWriter(store, events, slog.New(slog.DiscardHandler))
+	w.commit(t.Context(), []*write{{id: testID, queue: "seats", version: 1, value: []byte("{}")}})
+	want(t, "events", events.events, []pool.Event{&pool.JobVanished{ID: testID}})
+}
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -270,7 +270,8 @@
 		return !pending.stage.CompareAndSwap(stagePending, stageSent)
 	})
 	retryBackoff := newBackoff()
-	for attempt := 0; len(batch) > 0 && ctx.Err() == nil; attempt++ {
+	refused, lost := 0, 0
+	for len(batch) > 0 && ctx.Err() == nil {
 		tx := table.Tx{Part: jobPart(batch[0].queue, batch[0].id)}
 		for _, pending := range batch {
 			pending.addTo(&tx)
@@ -291,13 +292,15 @@
 				return
 			}
 			batch = remaining
-		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun && attempt < maxRefusedRetries:
+		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun && refused < maxRefusedRetries:
+			refused++
 			sleep(ctx, retryBackoff.NextBackOff())
-		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun || attempt >= maxLostRetries:
+		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun || lost >= maxLostRetries:
 			w.logger.Warn("jobs are not saved", "queue", batch[0].queue, "count", len(batch), "error", err)
 			w.reportFailed(batch, err)
 			return
 		default:
+			lost++
 			for _, pending := range batch {
 				pending.maybeStored = true
 			}
--- a/manager/writer_test.go
+++ b/manager/writer_test.go
@@ -273,3 +273,22 @@
 	defer events.mu.Unlock()
 	want(t, "last event", events.events[len(events.events)-1], pool.Event(&pool.JobSaved{ID: testID, Seq: 5, Version: 2}))
 }
+
+// TestLostAnswersDoNotCountAsRefusals guards against a new job that is reported as not
+// stored after one refusal, because lost answers before it used up the retries.
+func TestLostAnswersDoNotCountAsRefusals(t *testing.T) {
+	store := newMemoryStore()
+	store.fault = func(n int) (error, bool) {
+		switch {
+		case n <= maxRefusedRetries+1:
+			return &table.Failure{Verdict: verdict.MayHaveRun}, false
+		case n == maxRefusedRetries+2:
+			return &table.Failure{Verdict: verdict.NotRun}, false
+		}
+		return nil, false
+	}
+	w := newWriter(store, &eventRecorder{}, slog.New(slog.DiscardHandler))
+	reply := make(chan submitReply, 1)
+	w.commit(t.Context(), []*write{{id: testID, queue: "seats", value: []byte("{}"), newJob: &job.Record{ID: testID, Queue: "seats"}, reply: reply}})
+	want(t, "result", (<-reply).result, Stored)
+}
