--- a/cmd/bronzestair/load.go
+++ b/cmd/bronzestair/load.go
@@ -108,9 +108,11 @@
 	if f.against.IsValid() {
 		targets = append(targets, newLoadTarget(f.against, "/bookings", f.callers))
 	}
-	for elapsed := time.Duration(0); elapsed < f.duration && ctx.Err() == nil; elapsed += loadSlice {
+	for _, slice := range loadSlices(f.duration) {
 		for _, t := range targets {
-			t.run(ctx, min(loadSlice, f.duration))
+			if ctx.Err() == nil {
+				t.run(ctx, slice)
+			}
 		}
 	}
 	for _, t := range targets {
@@ -121,6 +123,15 @@
 	return newLoadReport(targets).print(f.asJSON)
 }
 
+// loadSlices divides a duration into slices of loadSlice and a shorter last one.
+func loadSlices(duration time.Duration) []time.Duration {
+	var out []time.Duration
+	for ; duration > 0; duration -= loadSlice {
+		out = append(out, min(loadSlice, duration))
+	}
+	return out
+}
+
 func newLoadTarget(address netip.AddrPort, path string, callerCount int) *loadTarget {
 	t := &loadTarget{
 		address: address,
--- a/cmd/bronzestair/load_test.go
+++ b/cmd/bronzestair/load_test.go
@@ -38,3 +38,17 @@
 		t.Errorf("rate = %v requests/s, want 3", got)
 	}
 }
+
+// TestLoadSlicesFillDuration guards against a load that lasts longer than asked for,
+// because its last slice was not shortened.
+func TestLoadSlicesFillDuration(t *testing.T) {
+	for _, duration := range []time.Duration{20 * time.Millisecond, time.Second, 1500 * time.Millisecond, 6 * time.Second} {
+		var sum time.Duration
+		for _, slice := range loadSlices(duration) {
+			sum += slice
+		}
+		if sum != duration {
+			t.Errorf("slices of %v last %v", duration, sum)
+		}
+	}
+}
--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -41,8 +41,6 @@
 	ID       InstanceID
 	Pool     job.PoolName
 	State    InstanceState
-	Zone     string
-	Labels   []string
 	Capacity job.Resources
 	Runner   pool.RunnerID
 	// Born is the start time of the current incarnation of the instance's runner; it
--- a/core/ownership/claim.go
+++ b/core/ownership/claim.go
@@ -1,10 +1,6 @@
 package ownership
 
-import (
-	"time"
-
-	"bronzestair/core/process"
-)
+import "bronzestair/core/process"
 
 // Claim is the stored lease on a shard. The ownership that this process holds
 // under its own claim is a Tenure.
@@ -57,6 +53,4 @@
 	Fence Version
 	// PreviousHolder is the previous holder of the shard; it is empty if there was none.
 	PreviousHolder string
-	// Since is when the write that began the ownership was sent.
-	Since time.Time
 }
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -240,7 +240,7 @@
 		}
 		return Tenure{}, false
 	}
-	tenure := Tenure{Shard: w.Shard, Epoch: w.Claim.Epoch, Fence: version, Since: sent}
+	tenure := Tenure{Shard: w.Shard, Epoch: w.Claim.Epoch, Fence: version}
 	if s := t.observed[w.Shard]; s != nil {
 		tenure.PreviousHolder = s.row.Claim.Holder
 	}
--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -62,9 +62,6 @@
 // RunnersListed lists all registered runners of the pool.
 type RunnersListed struct {
 	Runners []Runner
-	// Incomplete keeps the runners that are not listed, because live runners may be
-	// missing from the list.
-	Incomplete bool
 }
 
 // IncarnationsListed lists the current incarnations of the runners on the pool's running
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -246,7 +246,7 @@
 	p.takeover.registrationsRead = true
 	for _, r := range p.runnerOrder {
 		id := r.ID
-		if present[id] || e.Incomplete {
+		if present[id] {
 			continue
 		}
 		if r.missingSince.IsZero() {
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -20,7 +20,6 @@
 	writer *bufio.Writer
 	// bytesWritten counts the bytes of the current request that the kernel accepted.
 	bytesWritten int64
-	reused       bool
 	idleSince    time.Time
 	peeker       socket.Peeker
 }
--- a/io/backend/connpool.go
+++ b/io/backend/connpool.go
@@ -31,7 +31,6 @@
 			break
 		}
 		if time.Since(c.idleSince) < p.maxIdleTime && c.reusable() {
-			c.reused = true
 			c.bytesWritten = 0
 			return c, nil
 		}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -23,6 +23,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -209,7 +210,7 @@
 		return
 	}
 	p := badRequest("target %q is no path", c.Request().RequestURI)
-	if c.Request().Method == http.MethodConnect {
+	if c.Request().Method == http.MethodConnect || strings.HasPrefix(c.Request().RequestURI, "/") {
 		p = newProblem(http.StatusMethodNotAllowed, "method %q is not served", c.Request().Method)
 	}
 	_ = p.write(c.Response())
--- a/io/jsonc/flags.go
+++ b/io/jsonc/flags.go
@@ -63,17 +63,17 @@
 
 // checkFlagValue validates a value by setting the flag and restoring the old
 // value, because ff does not validate values that the command line or the
-// environment overrides. It does not restore an empty old value.
+// environment overrides.
 func checkFlagValue(flags *flag.FlagSet, name, value string) error {
 	f := flags.Lookup(name)
 	old := f.Value.String()
 	if err := f.Value.Set(value); err != nil {
 		return describeFlagError(f, value, err)
 	}
-	if old == "" {
-		return nil
+	if err := f.Value.Set(old); err != nil && old != "" {
+		return err
 	}
-	return f.Value.Set(old)
+	return nil // types that do not accept an empty value can only have it as their default
 }
 
 // describeFlagError names the expected type where package flag only reports
--- a/io/jsonc/jsonc_test.go
+++ b/io/jsonc/jsonc_test.go
@@ -87,3 +87,20 @@
 		}
 	})
 }
+
+// TestOverriddenEmptyValueIsRestored guards against a settings file that replaces an empty
+// value of the command line, which package ff leaves in place.
+func TestOverriddenEmptyValueIsRestored(t *testing.T) {
+	flags := flag.NewFlagSet("", flag.ContinueOnError)
+	name := flags.String("name", "default", "")
+	if err := flags.Set("name", ""); err != nil {
+		t.Fatal(err)
+	}
+	overridden := func(string, string) error { return nil }
+	if err := jsonc.FlagParser("f", flags)(strings.NewReader(`{"name": "of the file"}`), overridden); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("", *name); diff != "" {
+		t.Errorf("name (-want +got):\n%s", diff)
+	}
+}
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -83,6 +83,7 @@
 	var reported int64
 	var batch []byte
 	for line := range w.lines {
+		lines := int64(1)
 		batch = append(batch[:0], line...)
 	collect:
 		for len(batch) < batchBytes {
@@ -91,17 +92,20 @@
 				if !ok {
 					break collect
 				}
+				lines++
 				batch = append(batch, next...)
 			default:
 				break collect
 			}
 		}
-		if n := w.dropped.Load(); n > reported {
-			batch = fmt.Appendf(batch, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n-reported)
-			reported = n
+		dropped := w.dropped.Load()
+		if dropped > reported {
+			batch = fmt.Appendf(batch, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", dropped-reported)
 		}
 		if _, err := out.Write(batch); err != nil {
-			return // The output failed; further lines fill the queue and are dropped.
+			w.dropped.Add(lines) // the output may work again with a later batch
+			continue
 		}
+		reported = dropped
 	}
 }
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 )
@@ -48,3 +49,22 @@
 	}
 	w.Close()
 }
+
+// brokenWriter is an output that always fails.
+type brokenWriter struct{}
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("the output is closed") }
+
+// TestLinesOfFailedWritesAreCounted guards against lines that are lost without being
+// counted after a write to the output has failed.
+func TestLinesOfFailedWritesAreCounted(t *testing.T) {
+	const lines = 100
+	w := NewWriter(brokenWriter{}, 1<<30)
+	for range lines {
+		w.Write([]byte("line\n"))
+	}
+	w.Close()
+	if got := w.Dropped(); got != lines {
+		t.Errorf("dropped = %d, want %d", got, lines)
+	}
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -38,8 +38,7 @@
 )
 
 // ErrNotOwner means that the called entry does not own the pool or the shard, although
-// its text names only a pool. Handlers return it, and of the methods of Peers, Submit
-// and Yield; the others return the gRPC error with status FailedPrecondition instead.
+// its text names only a pool. Handlers and the methods of Peers return it.
 // Submit also returns it if the owner has not sent the write to the store, so that the
 // job is not stored.
 var ErrNotOwner = errors.New("this entry does not own the pool")
@@ -174,7 +173,7 @@
 }
 
 // call makes a call and closes the connection after maxConsecutiveFailures calls
-// that timed out or found the peer unavailable.
+// that timed out or found the peer unavailable. It returns ErrNotOwner if the peer does.
 func (p *Peers) call(address string, f func(ownerpb.OwnerClient) error) error {
 	c, err := p.connect(address)
 	if err != nil {
@@ -186,6 +185,9 @@
 	defer p.mu.Unlock()
 	if code != codes.DeadlineExceeded && code != codes.Unavailable {
 		c.consecutiveFailures = 0
+		if code == codes.FailedPrecondition {
+			return ErrNotOwner
+		}
 		return err
 	}
 	c.consecutiveFailures++
@@ -209,9 +211,6 @@
 		result = uint8(reply.GetResult())
 		return err
 	})
-	if status.Code(err) == codes.FailedPrecondition {
-		err = ErrNotOwner
-	}
 	return result, err
 }
 
@@ -273,14 +272,10 @@
 // Yield asks a peer to release a shard. ErrNotOwner means that the peer does not
 // own it.
 func (p *Peers) Yield(ctx context.Context, address, shard string) error {
-	err := p.call(address, func(c ownerpb.OwnerClient) error {
+	return p.call(address, func(c ownerpb.OwnerClient) error {
 		_, err := c.Yield(ctx, &ownerpb.YieldRequest{Shard: shard})
 		return err
 	})
-	if status.Code(err) == codes.FailedPrecondition {
-		err = ErrNotOwner
-	}
-	return err
 }
 
 // StoreAges returns the age of the store's last response to each peer. Peers that do
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"testing"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
 )
 
 // TestServeAfterCancelReturnsNil checks that an entry that is stopped before it
@@ -24,3 +28,60 @@
 		}
 	}
 }
+
+// strangerHandler is the Handler of an entry that owns nothing.
+type strangerHandler struct{ Handler }
+
+func (strangerHandler) StoreJob(context.Context, job.PoolName, []byte) (uint8, error) {
+	return 0, ErrNotOwner
+}
+
+func (strangerHandler) JobState(context.Context, job.PoolName, job.ID) (job.State, error) {
+	return "", ErrNotOwner
+}
+
+func (strangerHandler) WaitingJobs(context.Context, job.PoolName, job.QueueName) (int, error) {
+	return 0, ErrNotOwner
+}
+
+func (strangerHandler) SyncPool(context.Context, job.PoolName, []pool.RunnerID) (pool.Report, error) {
+	return pool.Report{}, ErrNotOwner
+}
+
+func (strangerHandler) EndRunner(context.Context, job.PoolName, pool.RunnerID) error {
+	return ErrNotOwner
+}
+
+func (strangerHandler) Yield(context.Context, string) error { return ErrNotOwner }
+
+// servePeers serves a handler on a loopback address until the test ends and returns the
+// address and the client side.
+func servePeers(t *testing.T, handler Handler) (*Peers, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPeers(handler, slog.New(slog.DiscardHandler))
+	go p.Serve(t.Context(), listener)
+	return p, listener.Addr().String()
+}
+
+// TestCallsReturnErrNotOwner guards against calls that return a gRPC error where a caller
+// checks for ErrNotOwner.
+func TestCallsReturnErrNotOwner(t *testing.T) {
+	p, address := servePeers(t, strangerHandler{})
+	ctx := t.Context()
+	for name, call := range map[string]func() error{
+		"Submit":    func() error { _, err := p.Submit(ctx, address, "booking", nil); return err },
+		"State":     func() error { _, err := p.State(ctx, address, "booking", "1"); return err },
+		"Waiting":   func() error { _, err := p.Waiting(ctx, address, "booking", "seats"); return err },
+		"Sync":      func() error { _, err := p.Sync(ctx, address, "booking", nil); return err },
+		"EndRunner": func() error { return p.EndRunner(ctx, address, "booking", "r1") },
+		"Yield":     func() error { return p.Yield(ctx, address, "pool/booking") },
+	} {
+		if err := call(); !errors.Is(err, ErrNotOwner) {
+			t.Errorf("%s: error = %v, want ErrNotOwner", name, err)
+		}
+	}
+}
--- a/manager/load_jobs_test.go
+++ b/manager/load_jobs_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"bronzestair/core/job"
 	"bronzestair/core/ownership"
@@ -15,7 +14,7 @@
 func TestOnlyRemovalsAreAppliedBeforeLoading(t *testing.T) {
 	const name job.PoolName = "booking"
 	m := New(Options{Name: "entry-1"}, newMemoryStore(), nil, nil, nil)
-	o := newPoolOwner(m, name, ownership.Tenure{Shard: poolShard(name), Epoch: 2, Fence: 5, Since: time.Now()}, func() {})
+	o := newPoolOwner(m, name, ownership.Tenure{Shard: poolShard(name), Epoch: 2, Fence: 5}, func() {})
 	_, value := testRecord()
 	stored := table.Row{Key: jobKey(jobTable, "seats", testID), Value: value, Version: 7}
 	removed := table.Row{Key: jobKey(jobTable, "seats", "00000000000000bb"), Version: 8, Removed: true}
--- a/manager/unfenced_owner_test.go
+++ b/manager/unfenced_owner_test.go
@@ -50,7 +50,7 @@
 		m := New(Options{Name: "entry-1"}, store, &unresponsiveRunners{}, oneInstance{}, nil)
 		m.registrations["r1"] = registration{pool: name, runner: pool.Runner{ID: "r1"}}
 		m.registrationsReadAt = time.Now()
-		o := newPoolOwner(m, name, ownership.Tenure{Shard: poolShard(name), Epoch: 2, Fence: 1, Since: time.Now()}, cancel)
+		o := newPoolOwner(m, name, ownership.Tenure{Shard: poolShard(name), Epoch: 2, Fence: 1}, cancel)
 		go o.run(ctx)
 		time.Sleep(100 * time.Millisecond)
 		record, value := testRecord()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -56,8 +56,6 @@
 	rows      map[string]platform.Row
 	objects   map[string][]byte
 	instances []instanceSnapshot
-	reads     int
-	writes    int
 }
 
 // instanceSnapshot is a state of the instance list with the time at which it was set.
@@ -138,13 +136,6 @@
 	p.instances = append(p.instances, instanceSnapshot{at: time.Now(), list: list})
 }
 
-// Calls returns the number of reads and writes that were carried out.
-func (p *Platform) Calls() (reads, writes int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads, p.writes
-}
-
 func (p *Platform) injectFault(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		fault := p.nextFault()
@@ -170,7 +161,6 @@
 
 func (p *Platform) getRow(c echo.Context) error {
 	p.mu.Lock()
-	p.reads++
 	row, ok := p.rows[rowKey(c)]
 	p.mu.Unlock()
 	if !ok {
@@ -195,7 +185,6 @@
 	if row.Version != platform.RowVersion(expected) {
 		return c.NoContent(http.StatusConflict)
 	}
-	p.writes++
 	row = platform.Row{Version: row.Version + 1, Value: value}
 	p.rows[rowKey(c)] = row
 	c.Response().Header().Set("Row-Version", strconv.FormatUint(uint64(row.Version), 10))
@@ -207,7 +196,6 @@
 func (p *Platform) listObjects(c echo.Context) error {
 	prefix := c.QueryParam("prefix")
 	p.mu.Lock()
-	p.reads++
 	names := []string{}
 	for name := range p.objects {
 		if strings.HasPrefix(name, prefix) {
@@ -221,7 +209,6 @@
 
 func (p *Platform) getObject(c echo.Context) error {
 	p.mu.Lock()
-	p.reads++
 	value, ok := p.objects[c.Param("*")]
 	p.mu.Unlock()
 	if !ok {
@@ -236,7 +223,6 @@
 		return err
 	}
 	p.mu.Lock()
-	p.writes++
 	p.objects[c.Param("*")] = value
 	p.mu.Unlock()
 	return c.NoContent(http.StatusOK)
@@ -245,7 +231,6 @@
 func (p *Platform) getInstances(c echo.Context) error {
 	cutoff := time.Now().Add(-p.lag)
 	p.mu.Lock()
-	p.reads++
 	list := []platform.Instance{}
 	version := 0
 	for i, l := range p.instances {
