Give a shard up after a panic instead of ending the process

Cause: the work of a shard, the calls of peers and the handling of followed tables ran without recovery, so that one malformed message that a decoder or the reducer does not expect would have ended the whole entry, with all its pools.

Change: a panic is logged once with its stack; a shard whose work panicked is stopped and its claim released, so that another entry takes it over; a peer's call is answered with an error; a table's changes are skipped. Panics in the handlers of callers end their connection only (net/http), after which the caller asks again. Without the guard TestPanicEndsOnlyItsShard ends with the panic; TestPanicInHandlerIsAnswered shows the peers' side.

--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -19,8 +19,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -125,6 +127,7 @@
 // Serve handles calls of peers until the context ends.
 func (p *Peers) Serve(ctx context.Context, listener net.Listener) error {
 	s := grpc.NewServer(
+		grpc.UnaryInterceptor(p.recoverPanic),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	)
@@ -138,6 +141,22 @@
 	return nil // the context ended first
 }
 
+// recoverPanic is an interceptor that answers a call whose handler panics with an error,
+// so that a malformed message does not end the process. The call may have had an effect.
+func (p *Peers) recoverPanic(ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (reply any, err error) {
+	returned := false
+	defer func() {
+		if !returned {
+			cause := recover()
+			p.logger.Error("panic", "work", info.FullMethod, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			err = status.Errorf(codes.Internal, "panic: %v", cause)
+		}
+	}()
+	reply, err = handle(ctx, request)
+	returned = true
+	return reply, err
+}
+
 func (p *Peers) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -9,6 +9,9 @@
 
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // TestServeAfterCancelReturnsNil checks that an entry that is stopped before it
@@ -85,3 +88,13 @@
 		}
 	}
 }
+
+// TestPanicInHandlerIsAnswered guards against a call of a peer that ends the process.
+func TestPanicInHandlerIsAnswered(t *testing.T) {
+	p, address := servePeers(t, struct{ Handler }{}) // each method panics, as the interface is nil
+	for range 2 {
+		if _, err := p.State(t.Context(), address, "booking", "1"); status.Code(err) != codes.Internal {
+			t.Errorf("error = %v, want one with code Internal", err)
+		}
+	}
+}
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -338,13 +338,14 @@
 	defer m.mu.Unlock()
 	if tenure.Shard == fleetShard {
 		m.fleet = newFleetOwner(m, tenure, cancel)
-		m.group.Go(func() error { m.fleet.run(ctx); return nil })
+		f := m.fleet
+		m.group.Go(func() error { m.guardShard(ctx, tenure.Shard, func() { f.run(ctx) }); return nil })
 		return
 	}
 	name := job.PoolName(strings.TrimPrefix(string(tenure.Shard), "pool/"))
 	o := newPoolOwner(m, name, tenure, cancel)
 	m.pools[name] = o
-	m.group.Go(func() error { o.run(ctx); return nil })
+	m.group.Go(func() error { m.guardShard(ctx, tenure.Shard, func() { o.run(ctx) }); return nil })
 }
 
 // stopShard stops the owner of a shard, if it runs, and drops the ownership.
--- a/manager/fleet_owner.go
+++ b/manager/fleet_owner.go
@@ -170,7 +170,7 @@
 		return
 	}
 	for _, p := range c.Pools {
-		go func() {
+		go f.m.guardShard(ctx, fleetShard, func() {
 			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 			defer cancel()
 			report, err := f.m.syncPool(ctx, p.Name, cordons[p.Name])
@@ -179,7 +179,7 @@
 				return
 			}
 			f.submit(&maintenance.PoolReported{Report: report})
-		}()
+		})
 	}
 }
 
@@ -200,7 +200,7 @@
 func (f *fleetOwner) perform(ctx context.Context, effect maintenance.Effect) {
 	switch e := effect.(type) {
 	case *maintenance.ListInstances:
-		go f.listInstances(ctx)
+		go f.m.guardShard(ctx, fleetShard, func() { f.listInstances(ctx) })
 	case *maintenance.OrderUpkeep:
 		go f.sendOrder(ctx, e.Instance, func() (maintenance.Result, error) {
 			return f.m.instances.Upkeep(ctx, uint64(f.tenure.Fence), e)
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		retryBackoff.Reset()
-		apply(ctx, changes{rows: rows, snapshot: true})
+		m.guard("table "+name, func() { apply(ctx, changes{rows: rows, snapshot: true}) })
 		m.followChanges(ctx, name, version, interval, apply)
 	}
 }
@@ -102,7 +102,7 @@
 			continue // keep the position on an empty answer, so that no change is missed
 		}
 		after = page.Version
-		apply(ctx, changes{rows: page.Rows})
+		m.guard("table "+name, func() { apply(ctx, changes{rows: page.Rows}) })
 		sleep(ctx, interval())
 	}
 }
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -104,9 +104,9 @@
 	defer o.m.options.Meter.SilentRunners(o.name, 0, 0)
 	p := pool.New(o.poolOptions(), time.Now())
 	o.initialize(ctx, p)
-	go o.writer.run(ctx)
-	go o.loadAndFollowJobs(ctx)
-	go o.listIncarnations(ctx)
+	go o.guard(ctx, func() { o.writer.run(ctx) })
+	go o.guard(ctx, func() { o.loadAndFollowJobs(ctx) })
+	go o.guard(ctx, func() { o.listIncarnations(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	expiryTicker := time.NewTicker(outcomeExpiryInterval)
@@ -129,6 +129,9 @@
 	}
 }
 
+// guard runs work of the pool, see guardShard.
+func (o *poolOwner) guard(ctx context.Context, f func()) { o.m.guardShard(ctx, o.shard, f) }
+
 func (o *poolOwner) poolOptions() pool.Options {
 	lease := pool.DefaultLease
 	if m := o.m.options.MaxLease; m > 0 {
@@ -189,29 +192,29 @@
 func (o *poolOwner) perform(ctx context.Context, effect pool.Effect) {
 	switch e := effect.(type) {
 	case *pool.StartTask:
-		go o.start(ctx, e)
+		go o.guard(ctx, func() { o.start(ctx, e) })
 	case *pool.StopTask:
-		go o.stop(ctx, e)
+		go o.guard(ctx, func() { o.stop(ctx, e) })
 	case *pool.PollRunner:
-		go o.poll(ctx, e)
+		go o.guard(ctx, func() { o.poll(ctx, e) })
 	case *pool.ThrottleTask:
-		go func() {
+		go o.guard(ctx, func() {
 			if err := o.m.runners.Throttle(ctx, e); err != nil {
 				o.m.logger.Warn("cannot throttle task", "task", e.Task.String(), "runner", e.Runner.ID, "error", err)
 			}
-		}()
+		})
 	case *pool.SaveProgress, *pool.FinishJob:
 		o.writer.enqueue(ctx, e)
 	case *pool.LookUpOutcome:
-		go o.lookUpOutcome(ctx, e)
+		go o.guard(ctx, func() { o.lookUpOutcome(ctx, e) })
 	case *pool.RequestTickets:
-		go func() {
+		go o.guard(ctx, func() {
 			answer, err := o.m.runners.FetchTickets(ctx, o.m.options.TicketServiceAddress, e)
 			if err != nil {
 				o.m.logger.Warn("cannot fetch tickets", "step", e.Step, "error", err)
 			}
 			o.submit(answer)
-		}()
+		})
 	case *pool.StepDown:
 		o.m.logger.Warn("ownership ends", "pool", o.name, "reason", e.Reason)
 		go o.m.stopShard(o.shard, e.Reason)
