Follow the runner table only where a shard is owned

Change: an entry begins to follow the table when it takes a shard over, and drops its copy when it owns none, so that no outdated registration is used later. Ruled out: a longer pause, as a heartbeat that is read at all is read in full.

--- a/manager/claims.go
+++ b/manager/claims.go
@@ -336,6 +336,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	select {
+	case m.ownershipBegan <- struct{}{}:
+	default: // a wake-up is already pending
+	}
 	if tenure.Shard == fleetShard {
 		m.fleet = newFleetOwner(m, tenure, cancel)
 		f := m.fleet
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -22,9 +22,8 @@
 	minRetryPause = 50 * time.Millisecond
 	maxRetryPause = 400 * time.Millisecond
 	// runnerFeedPause is well below the 2 s after which a draining runner must get no
-	// more tasks. Entries that own no pool use the longer idleRunnerFeedPause.
-	runnerFeedPause     = 200 * time.Millisecond
-	idleRunnerFeedPause = 800 * time.Millisecond
+	// more tasks.
+	runnerFeedPause = 200 * time.Millisecond
 	// reregisterGrace is the time in which runners whose registrations expired during
 	// an outage of the store may register again before they are dropped.
 	reregisterGrace = 2 * time.Second
@@ -46,17 +45,6 @@
 	return b
 }
 
-// runnerFeedPause returns the pause between two reads of the runner table's changes.
-// Each heartbeat is a change.
-func (m *Manager) runnerFeedPause() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.pools) == 0 {
-		return idleRunnerFeedPause
-	}
-	return runnerFeedPause
-}
-
 // followTable passes all rows of the table's part with the empty name to apply, and then
 // the changes of the table. After each set of changes it waits for the interval, in which
 // further changes accumulate.
@@ -188,10 +176,14 @@
 }
 
 // applyRunnerRows applies changes to the copy of the runner table and passes the
-// registered runners to the pool owners of this process.
-func (m *Manager) applyRunnerRows(_ context.Context, c changes) {
+// registered runners to the pool owners of this process. It does nothing once the context
+// has ended, as the copy is then no longer kept up to date.
+func (m *Manager) applyRunnerRows(ctx context.Context, c changes) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
 	now := time.Now()
 	before := m.registrationStates()
 	defer func() { m.logRegistrationChanges(before, m.registrationStates()) }()
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -107,6 +107,8 @@
 	catalog catalog.Holder
 	// claimsVersion is the table version up to which claims have been read.
 	claimsVersion table.Version
+	// ownershipBegan wakes followRunners.
+	ownershipBegan chan struct{}
 	// claimsChanged wakes the loop that maintains claims.
 	claimsChanged chan struct{}
 	// stopping is true once Stop has been called.
@@ -117,6 +119,7 @@
 	pools   map[job.PoolName]*poolOwner
 	fleet   *fleetOwner
 	// registrations and waves are copies of the rows in the shared tables.
+	// registrations is kept while this entry owns a shard, see followRunners.
 	registrations       map[string]registration
 	registrationsReadAt time.Time
 	// storeReturnedAt is when the store's last outage ended.
@@ -158,6 +161,8 @@
 		registrations: map[string]registration{},
 		waves:         map[maintenance.WaveNumber]maintenance.Wave{},
 		claimsChanged: make(chan struct{}, 1),
+
+		ownershipBegan: make(chan struct{}, 1),
 	}
 	incarnation := newIncarnation()
 	m.tracker = ownership.New(o.Name, o.Address, incarnation, time.Now())
@@ -187,7 +192,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		m.followTable(ctx, m.schema.RunnerTable(), m.runnerFeedPause, m.applyRunnerRows)
+		m.followRunners(ctx)
 		return nil
 	})
 	group.Go(func() error {
