Spread relayed store calls over all entries and notice hung calls

Changes: entries write a row about themselves every 15 s (core/membership); each orders the others by a hash of its own, those of its data centre first, owners last. A replaced connection is closed after 5 s. A peer without the store refuses at once, and up to four are tried. A call that is overdue by 0.4 s while nothing else was answered counts as an outage.

--- /dev/null
+++ b/core/membership/membership.go
@@ -0,0 +1,101 @@
+// Package membership tracks which entries of the fleet are alive, and orders them for an
+// entry that needs the help of another one. It performs no I/O: a Tracker takes the rows
+// that all entries write about themselves.
+//
+// # Usage
+//
+//	tracker := membership.New("entry-1", "zone-a")
+//	tracker.Observe(time.Now(), members)
+//	for _, peer := range tracker.Peers(time.Now()) {
+//		// ask peer.Address
+//	}
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// RefreshInterval is the period at which an entry writes its row.
+	RefreshInterval = 15 * time.Second
+	// Lifetime is how long an entry counts as a member after its row has changed. It
+	// outlasts one missed refresh.
+	Lifetime = 2*RefreshInterval + 10*time.Second
+)
+
+// Member is what an entry states about itself.
+type Member struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	// Refreshes counts the writes of the row, so that each one changes it.
+	Refreshes uint64 `json:"refreshes"`
+}
+
+// Tracker tracks the members for one entry. Use New.
+type Tracker struct {
+	name, dataCentre string
+	members          map[string]observed
+}
+
+// observed is a member and when its row was last found to have changed.
+type observed struct {
+	Member
+	changedAt time.Time
+}
+
+// New returns the tracker of an entry in a data centre. It knows no members.
+func New(name, dataCentre string) *Tracker {
+	return &Tracker{name: name, dataCentre: dataCentre, members: map[string]observed{}}
+}
+
+// Observe takes rows that have changed since the last call, and drops the members whose
+// rows have not changed for Lifetime.
+func (t *Tracker) Observe(now time.Time, changed []Member) {
+	for _, m := range changed {
+		if known, ok := t.members[m.Name]; m.Name != "" && (!ok || known.Member != m) {
+			t.members[m.Name] = observed{m, now}
+		}
+	}
+	for name, m := range t.members {
+		if now.Sub(m.changedAt) > Lifetime {
+			delete(t.members, name)
+		}
+	}
+}
+
+// Peers returns the other members, those of the own data centre first. Each entry gets
+// them in an order of its own, so that entries that need help at the same time do not all
+// ask the same peer.
+func (t *Tracker) Peers(now time.Time) []Member {
+	type candidate struct {
+		Member
+		remote bool
+		weight uint64
+	}
+	var candidates []candidate
+	for _, m := range t.members {
+		if m.Name == t.name || now.Sub(m.changedAt) > Lifetime {
+			continue
+		}
+		candidates = append(candidates, candidate{m.Member, m.DataCentre != t.dataCentre, xxhash.Sum64String(t.name + "/" + m.Name)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.remote != b.remote && b.remote:
+			return -1
+		case a.remote != b.remote:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
+	})
+	out := make([]Member, len(candidates))
+	for i, c := range candidates {
+		out[i] = c.Member
+	}
+	return out
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -57,8 +57,10 @@
 	keepaliveInterval = 10 * time.Second
 	keepaliveTimeout  = 1 * time.Second
 	// maxConsecutiveFailures is the number of consecutive calls without a response
-	// after which a connection is closed, as it may be unresponsive.
+	// after which a connection is replaced, as it may be unresponsive.
 	maxConsecutiveFailures = 2
+	// retireDelay is longer than any call between entries takes.
+	retireDelay = 5 * time.Second
 	// bufferBytes is the size of each connection's read buffer and write buffer.
 	bufferBytes = 4 << 10
 )
@@ -111,6 +113,8 @@
 
 	mu          sync.Mutex
 	connections map[string]*connection
+	// retired holds the connections that are closed after retireDelay.
+	retired map[*connection]struct{}
 }
 
 // connection is a client connection with its number of consecutive failed calls.
@@ -121,7 +125,10 @@
 
 // NewPeers returns peers whose server is started by Serve.
 func NewPeers(handler Handler, logger *slog.Logger) *Peers {
-	return &Peers{handler: handler, logger: logger, connections: map[string]*connection{}}
+	return &Peers{
+		handler: handler, logger: logger,
+		connections: map[string]*connection{}, retired: map[*connection]struct{}{},
+	}
 }
 
 // Serve handles calls of peers until the context ends.
@@ -160,12 +167,36 @@
 func (p *Peers) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, c := range p.connections {
-		if err := c.Close(); err != nil {
-			p.logger.Debug("closing the connection failed", "peer", address, "error", err)
-		}
+	for _, c := range p.connections {
+		p.retired[c] = struct{}{}
 	}
 	clear(p.connections)
+	for c := range p.retired {
+		p.closeRetired(c)
+	}
+}
+
+// retire closes a connection after retireDelay, so that its other calls can complete. New
+// calls use another connection. The caller holds the lock.
+func (p *Peers) retire(address string, c *connection) {
+	delete(p.connections, address)
+	p.retired[c] = struct{}{}
+	time.AfterFunc(retireDelay, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.closeRetired(c)
+	})
+}
+
+// closeRetired closes a retired connection. The caller holds the lock.
+func (p *Peers) closeRetired(c *connection) {
+	if _, ok := p.retired[c]; !ok {
+		return
+	}
+	delete(p.retired, c)
+	if err := c.Close(); err != nil {
+		p.logger.Debug("closing the connection failed", "peer", c.Target(), "error", err)
+	}
 }
 
 // connect returns the connection to a peer, and creates it if there is none.
@@ -191,7 +222,7 @@
 	return c, nil
 }
 
-// call makes a call and closes the connection after maxConsecutiveFailures calls
+// call makes a call and retires the connection after maxConsecutiveFailures calls
 // that timed out or found the peer unavailable. It returns ErrNotOwner if the peer does.
 func (p *Peers) call(address string, f func(ownerpb.OwnerClient) error) error {
 	c, err := p.connect(address)
@@ -211,10 +242,7 @@
 	}
 	c.consecutiveFailures++
 	if c.consecutiveFailures >= maxConsecutiveFailures && p.connections[address] == c {
-		delete(p.connections, address)
-		if closeErr := c.Close(); closeErr != nil {
-			p.logger.Debug("closing the connection failed", "peer", address, "error", closeErr)
-		}
+		p.retire(address, c)
 	}
 	return err
 }
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"testing"
+	"time"
 
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
@@ -98,3 +99,44 @@
 		}
 	}
 }
+
+// slowHandler answers for the job "slow" after it was released, and for others never.
+type slowHandler struct {
+	Handler
+	entered, release chan struct{}
+}
+
+func (h slowHandler) JobState(ctx context.Context, _ job.PoolName, id job.ID) (job.State, error) {
+	if id != "slow" {
+		<-ctx.Done()
+		return "", ctx.Err()
+	}
+	close(h.entered)
+	<-h.release
+	return job.Running, nil
+}
+
+// TestReplacedConnectionCompletesItsCalls guards against calls that are broken off because
+// two others on the same connection had no answer. On the large Skywatch site (trouble-1),
+// writes of jobs failed with "the client connection is closing".
+func TestReplacedConnectionCompletesItsCalls(t *testing.T) {
+	handler := slowHandler{entered: make(chan struct{}), release: make(chan struct{})}
+	p, address := servePeers(t, handler)
+	result := make(chan error, 1)
+	go func() {
+		_, err := p.State(t.Context(), address, "booking", "slow")
+		result <- err
+	}()
+	<-handler.entered
+	for range maxConsecutiveFailures {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		if _, err := p.State(ctx, address, "booking", "lost"); status.Code(err) != codes.DeadlineExceeded {
+			t.Fatalf("error = %v, want DeadlineExceeded", err)
+		}
+		cancel()
+	}
+	close(handler.release)
+	if err := <-result; err != nil {
+		t.Errorf("the call in flight failed: %v", err)
+	}
+}
--- a/manager/failover_store.go
+++ b/manager/failover_store.go
@@ -20,15 +20,17 @@
 	directOutageThreshold = 400 * time.Millisecond
 	// probeInterval is the period of direct calls that test the store meanwhile.
 	probeInterval = 500 * time.Millisecond
-	// maxRelayAttempts bounds the peers that are tried for one call.
-	maxRelayAttempts = 2
+	// maxRelayAttempts bounds the peers that are tried for one call. Only a peer that
+	// refuses the call at once lets another one be tried.
+	maxRelayAttempts = 4
 )
 
 // failoverStore calls the store directly, or through peers while the direct path is
 // down.
 type failoverStore struct {
-	direct        Store
-	peers         *owner.Peers
+	direct Store
+	// relay returns the store as reached through a peer.
+	relay         func(address string) owner.Store
 	peerAddresses func() []string
 	logger        *slog.Logger
 
@@ -40,11 +42,23 @@
 	// lastRelayResponse is when the store last answered a relayed call.
 	lastRelayResponse time.Time
 	directFailures    int
-	createdAt         time.Time
+	// pending holds the direct calls that await an answer: when each was sent, and when
+	// its answer is overdue.
+	pending   map[*pendingCall]struct{}
+	createdAt time.Time
+}
+
+// pendingCall is a call to the store that awaits its answer.
+type pendingCall struct {
+	sent, overdue time.Time
 }
 
 func newFailoverStore(direct Store, peers *owner.Peers, peerAddresses func() []string, logger *slog.Logger) *failoverStore {
-	return &failoverStore{direct: direct, peers: peers, peerAddresses: peerAddresses, logger: logger, failedAt: map[string]time.Time{}, createdAt: time.Now()}
+	return &failoverStore{
+		direct: direct, relay: func(address string) owner.Store { return peers.Relay(address) },
+		peerAddresses: peerAddresses, logger: logger,
+		failedAt: map[string]time.Time{}, pending: map[*pendingCall]struct{}{}, createdAt: time.Now(),
+	}
 }
 
 // LastResponse returns when the store last answered, directly or through a peer.
@@ -58,10 +72,18 @@
 }
 
 // directDown reports whether the direct path is down: at least two calls in a row have
-// failed, and there was no useful answer for directOutageThreshold.
+// failed, and there was no useful answer for directOutageThreshold; or a call is overdue
+// and no other call has had a useful answer since it was sent. A store that is only slow
+// answers other calls meanwhile.
 func (r *failoverStore) directDown() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now, answered := time.Now(), r.direct.LastResponse()
+	for call := range r.pending {
+		if now.After(call.overdue) && answered.Before(call.sent) {
+			return true
+		}
+	}
 	last := r.direct.LastResponse()
 	if last.Before(r.createdAt) {
 		last = r.createdAt
@@ -123,20 +145,39 @@
 	r.lastRelayResponse = time.Now()
 }
 
-// callStore makes a call directly, or through peers while the direct path is down. A
-// call that may have taken effect is not repeated here: that is up to its caller.
-func callStore[T any](r *failoverStore, call func(owner.Store) (T, error)) (T, error) {
+// beginDirect records that a direct call is sent, which the store may hold back for wait.
+func (r *failoverStore) beginDirect(wait time.Duration) *pendingCall {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	call := &pendingCall{sent: now, overdue: now.Add(wait + directOutageThreshold)}
+	r.pending[call] = struct{}{}
+	return call
+}
+
+func (r *failoverStore) endDirect(call *pendingCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pending, call)
+}
+
+// callStore makes a call, which the store may hold back for wait, directly, or through
+// peers while the direct path is down. A call that may have taken effect is not repeated
+// here: that is up to its caller.
+func callStore[T any](r *failoverStore, wait time.Duration, call func(owner.Store) (T, error)) (T, error) {
 	var value T
 	var err error
 	if !r.directDown() {
+		pending := r.beginDirect(wait)
 		value, err = call(r.direct)
+		r.endDirect(pending)
 		r.recordDirect(err)
 		if !notRun(err) || !r.directDown() {
 			return value, err
 		}
 	}
 	for _, address := range r.candidates() {
-		value, err = call(r.peers.Relay(address))
+		value, err = call(r.relay(address))
 		r.recordRelayed(address, err)
 		if !notRun(err) {
 			return value, err
@@ -156,22 +197,22 @@
 
 // Commit implements Store.
 func (r *failoverStore) Commit(ctx context.Context, tx *table.Tx) (table.Version, error) {
-	return callStore(r, func(s owner.Store) (table.Version, error) { return s.Commit(ctx, tx) })
+	return callStore(r, 0, func(s owner.Store) (table.Version, error) { return s.Commit(ctx, tx) })
 }
 
 // Rows implements Store.
 func (r *failoverStore) Rows(ctx context.Context, name, part, from, to string) (*table.Page, error) {
-	return callStore(r, func(s owner.Store) (*table.Page, error) { return s.Rows(ctx, name, part, from, to) })
+	return callStore(r, 0, func(s owner.Store) (*table.Page, error) { return s.Rows(ctx, name, part, from, to) })
 }
 
 // Parts implements Store.
 func (r *failoverStore) Parts(ctx context.Context, name string) ([]string, error) {
-	return callStore(r, func(s owner.Store) ([]string, error) { return s.Parts(ctx, name) })
+	return callStore(r, 0, func(s owner.Store) ([]string, error) { return s.Parts(ctx, name) })
 }
 
 // Feed implements Store.
 func (r *failoverStore) Feed(ctx context.Context, name string, after table.Version, wait time.Duration) (*table.Page, error) {
-	return callStore(r, func(s owner.Store) (*table.Page, error) { return s.Feed(ctx, name, after, wait) })
+	return callStore(r, wait, func(s owner.Store) (*table.Page, error) { return s.Feed(ctx, name, after, wait) })
 }
 
 // probeDirect tests the direct path while it is down.
@@ -188,3 +229,29 @@
 		r.recordDirect(err)
 	}
 }
+
+// unreachableStore refuses the relayed calls of peers while this entry itself does not
+// reach the store, so that they try another peer at once.
+type unreachableStore struct{}
+
+var errUnreachableStore = &table.Failure{Verdict: verdict.NotRun, Reason: "this entry does not reach the store"}
+
+// Commit implements owner.Store.
+func (unreachableStore) Commit(context.Context, *table.Tx) (table.Version, error) {
+	return 0, errUnreachableStore
+}
+
+// Rows implements owner.Store.
+func (unreachableStore) Rows(context.Context, string, string, string, string) (*table.Page, error) {
+	return nil, errUnreachableStore
+}
+
+// Parts implements owner.Store.
+func (unreachableStore) Parts(context.Context, string) ([]string, error) {
+	return nil, errUnreachableStore
+}
+
+// Feed implements owner.Store.
+func (unreachableStore) Feed(context.Context, string, table.Version, time.Duration) (*table.Page, error) {
+	return nil, errUnreachableStore
+}
--- a/manager/failover_store_test.go
+++ b/manager/failover_store_test.go
@@ -1,11 +1,15 @@
 package manager
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"bronzestair/core/membership"
+	"bronzestair/core/ownership"
 	"bronzestair/core/table"
 	"bronzestair/io/owner"
 )
@@ -59,3 +63,57 @@
 	_, err = r.Commit(t.Context(), &tx)
 	want(t, "conflict", err, error(&table.Conflict{Rows: page.Rows}))
 }
+
+// hangingStore does not answer this entry any more.
+type hangingStore struct{ *memoryStore }
+
+func (hangingStore) LastResponse() time.Time { return time.Time{} }
+
+func (hangingStore) Commit(ctx context.Context, _ *table.Tx) (table.Version, error) {
+	<-ctx.Done()
+	return 0, errAnswerLost
+}
+
+// TestOverdueCallMakesOthersGoThroughPeer guards against calls that are sent into an outage
+// one after the other because none has failed yet: a call without an answer fails after
+// 1.4 s only.
+func TestOverdueCallMakesOthersGoThroughPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		shared := newMemoryStore()
+		r := newFailoverStore(hangingStore{newMemoryStore()}, nil, func() []string { return []string{"peer"} }, slog.New(slog.DiscardHandler))
+		r.relay = func(string) owner.Store { return shared }
+		tx := table.Tx{}
+		tx.Put(table.Key{Table: "t", Name: "k"}, []byte("value"))
+		go r.Commit(ctx, &tx)
+		synctest.Wait()
+		want(t, "down at once", r.directDown(), false)
+		time.Sleep(directOutageThreshold + time.Millisecond)
+		version, err := r.Commit(ctx, &tx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want(t, "version", version, table.Version(1))
+	})
+}
+
+// TestPeerWithoutStoreRefusesRelayedCalls guards against relayed calls that wait at a peer
+// that does not reach the store either.
+func TestPeerWithoutStoreRefusesRelayedCalls(t *testing.T) {
+	m := New(Options{Name: "entry-1"}, hangingStore{newMemoryStore()}, nil, nil, nil)
+	m.store.createdAt = time.Now().Add(-time.Minute)
+	m.store.directFailures = 2
+	_, err := m.DirectStore().Commit(t.Context(), &table.Tx{})
+	want(t, "refused", notRun(err), true)
+}
+
+// TestRelayPeersSpareOwners checks the order of the peers that relay calls: members
+// without a claim first, the holders of claims last.
+func TestRelayPeersSpareOwners(t *testing.T) {
+	m := New(Options{Name: "entry-1", Address: "a1"}, newMemoryStore(), nil, nil, nil)
+	now := time.Now()
+	m.members.Observe(now, []membership.Member{{Name: "entry-2", Address: "a2"}, {Name: "entry-3", Address: "a3"}})
+	m.tracker.Observe(now, []ownership.Row{{Shard: fleetShard, Claim: ownership.Claim{Holder: "entry-2", Address: "a2"}, Version: 1}})
+	want(t, "peers", m.relayPeers(), []string{"a3", "a2"})
+}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -23,6 +23,7 @@
 	"bronzestair/core/catalog"
 	"bronzestair/core/job"
 	"bronzestair/core/maintenance"
+	"bronzestair/core/membership"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/core/process"
@@ -75,6 +76,8 @@
 	// Name is the entry's name, Address the address at which it serves its peers.
 	Name    string
 	Address string
+	// DataCentre is the data centre of the entry.
+	DataCentre string
 	// Capacity is the entry's share of its machine's resources.
 	Capacity process.Capacity
 	// TicketServiceAddress is the address of the service that issues tickets for steps.
@@ -116,6 +119,7 @@
 
 	mu      sync.Mutex
 	tracker *ownership.Tracker
+	members *membership.Tracker
 	pools   map[job.PoolName]*poolOwner
 	fleet   *fleetOwner
 	// registrations and waves are copies of the rows in the shared tables.
@@ -168,7 +172,8 @@
 	m.tracker = ownership.New(o.Name, o.Address, incarnation, time.Now())
 	m.tracker.Capacity = o.Capacity
 	m.peers = owner.NewPeers(m, o.Logger)
-	m.store = newFailoverStore(store, m.peers, m.otherEntries, o.Logger)
+	m.members = membership.New(o.Name, o.DataCentre)
+	m.store = newFailoverStore(store, m.peers, m.relayPeers, o.Logger)
 	m.direct = newWriter(m.store, discardSink{}, o.Logger)
 	return m
 }
@@ -199,6 +204,10 @@
 		m.maintainClaims(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		m.maintainMembership(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		m.direct.run(ctx)
 		return nil
@@ -232,7 +241,7 @@
 	m.notifyClaimsChanged(ctx)
 }
 
-// otherEntries returns the addresses of the known peers.
+// otherEntries returns the addresses of the peers that hold claims.
 func (m *Manager) otherEntries() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/manager/peer_handler.go
+++ b/manager/peer_handler.go
@@ -95,8 +95,14 @@
 // entry.
 func (m *Manager) StoreAge() time.Duration { return time.Since(m.store.direct.LastResponse()) }
 
-// DirectStore returns the store that this entry calls directly.
-func (m *Manager) DirectStore() owner.Store { return m.store.direct }
+// DirectStore returns the store that this entry calls directly, or one that refuses all
+// calls while this entry does not reach the store.
+func (m *Manager) DirectStore() owner.Store {
+	if m.store.directDown() {
+		return unreachableStore{}
+	}
+	return m.store.direct
+}
 
 // ClaimsChanged makes this entry look for free shards immediately.
 func (m *Manager) ClaimsChanged() {
