Give up renewals in time; log series of unanswered polls sparsely

Of a series only polls 1, 2, 4, 8 and so on are logged, with their number (TestSeriesOfUnansweredPollsIsLoggedSparsely).

--- a/core/pool/effect.go
+++ b/core/pool/effect.go
@@ -48,6 +48,8 @@
 	Acknowledged int64
 	// Wait is how long the runner may hold back its answer until a task ends.
 	Wait time.Duration
+	// FailedCalls is the number of calls without an answer since the runner's last one.
+	FailedCalls int
 }
 
 // ThrottleTask limits the speed of a best-effort task to a percentage of the speed
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -49,7 +49,7 @@
 // runner.
 func (p *Pool) poll(now time.Time, r *runnerState, busy bool) {
 	r.polling = true
-	effect := &PollRunner{Runner: r.Runner, Fence: p.options.Fence, Acknowledged: r.acknowledge()}
+	effect := &PollRunner{Runner: r.Runner, Fence: p.options.Fence, Acknowledged: r.acknowledge(), FailedCalls: r.failedCalls}
 	if r.resolved && busy && r.failedCalls == 0 {
 		// The lease of a runner that does not answer is not extended: a call that is
 		// carried out late would postpone the time at which its tasks count as lost.
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -25,6 +25,9 @@
 	// attempts to take over shards after a peer has released some.
 	releasedPollInterval = 40 * time.Millisecond
 	releasedPolls        = 12
+	// renewTimeout lets two attempts at a renewal fail within ownership.ClaimTTL. A slow
+	// store commits a transaction in a quarter of a second.
+	renewTimeout = ownership.RenewInterval
 	// outageThreshold is the age of the store's last answer from which on the store
 	// counts as unavailable.
 	outageThreshold = 900 * time.Millisecond
@@ -195,7 +198,11 @@
 	}
 }
 
+// renew renews a claim. A write without an answer is given up early enough for another
+// attempt, which may go through a peer, before the claim expires.
 func (m *Manager) renew(ctx context.Context, w ownership.Write) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
 	sent := time.Now()
 	version, err := m.writeClaim(ctx, w)
 	var conflict *table.Conflict
--- a/manager/claims_test.go
+++ b/manager/claims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bronzestair/core/job"
@@ -54,3 +55,18 @@
 		})
 	}
 }
+
+// TestRenewalWithoutAnswerLeavesTimeForAnother guards against an owner that loses a pool
+// because one renewal got no answer: a call to the store times out after 1.4 s, and a claim
+// expires after 2 s.
+func TestRenewalWithoutAnswerLeavesTimeForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(Options{Name: "entry-1"}, hangingStore{newMemoryStore()}, nil, nil, nil)
+		started := time.Now()
+		m.renew(t.Context(), ownership.Write{Shard: fleetShard})
+		const attempts = 2
+		if took := time.Since(started); ownership.RenewInterval+attempts*took >= ownership.ClaimTTL {
+			t.Errorf("a renewal without an answer takes %v, which leaves no time for another within %v", took, ownership.ClaimTTL)
+		}
+	})
+}
--- a/manager/observe_test.go
+++ b/manager/observe_test.go
@@ -136,7 +136,7 @@
 			},
 			{
 				"level": "WARN", "msg": "hold has no answer", "pool": "booking", "runner": "r1", "call": "unknown",
-				"took": took, "until": float64(time.Hour), "acknowledged": 57.0, "error": errNoReply.Error(),
+				"took": took, "until": float64(time.Hour), "acknowledged": 57.0, "unanswered": 1.0, "error": errNoReply.Error(),
 			},
 		})
 		want(t, "calls", meter.calls, []recordedCall{
@@ -145,6 +145,23 @@
 	})
 }
 
+// TestSeriesOfUnansweredPollsIsLoggedSparsely guards against owners that exceed their limit
+// of log lines with the polls of runners that do not answer, so that decisions are missing
+// from the log.
+func TestSeriesOfUnansweredPollsIsLoggedSparsely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, log := newLoggedOwner(t, &unresponsiveRunners{}, &meterRecorder{})
+		for _, failed := range []int{0, 2, 3} {
+			o.poll(t.Context(), &pool.PollRunner{Runner: pool.Runner{ID: "r1"}, FailedCalls: failed})
+		}
+		var unanswered []any
+		for _, line := range logLines(t, log) {
+			unanswered = append(unanswered, line["unanswered"])
+		}
+		want(t, "logged polls", unanswered, []any{1.0, 4.0})
+	})
+}
+
 // TestAnsweredPollsAreNotLogged guards against a log of excessive size: an owner makes up
 // to 2000 polls per second.
 func TestAnsweredPollsAreNotLogged(t *testing.T) {
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"time"
 
 	"bronzestair/core/job"
@@ -283,9 +284,10 @@
 	sent := time.Now()
 	answer, err := o.m.runners.Poll(ctx, e)
 	took := o.measureCall(CallPoll, answer.CallResult, sent)
-	if err != nil || !answer.CallResult.Answered() {
+	// Of a series of calls without an answer, only the polls 1, 2, 4, 8 and so on are logged.
+	if n := e.FailedCalls + 1; !answer.CallResult.Answered() && bits.OnesCount(uint(n)) == 1 {
 		o.m.logger.Warn("hold has no answer", "pool", o.name, "runner", e.Runner.ID, "call", answer.CallResult.String(), "took", took,
-			"until", time.Duration(e.Until), "acknowledged", e.Acknowledged, "error", err)
+			"until", time.Duration(e.Until), "acknowledged", e.Acknowledged, "unanswered", n, "error", err)
 	}
 	for _, end := range answer.Ended {
 		o.m.options.Meter.Ended(o.name, end.Result)
