Streams that carry orders to runners through delegates

An order that was not passed on is known not to have been sent; one that was passed on and has no result may have been carried out, as for a call of the owner's own. A delegate drops an order that it has held for longer than 0.2 s by either clock; the fencing token and the expiry on the runner's clock stay the owner's. A stream without a result since an order was sent is given up. Tests: orders and results unchanged, panic, loss, expiry, a fuzz test.

--- /dev/null
+++ b/io/owner/delegate.go
@@ -0,0 +1,285 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzestair/core/pool"
+	"bronzestair/io/owner/ownerpb"
+)
+
+// ErrDelegateUnavailable means that an order was not passed on to a delegate, so that the
+// runner certainly has not received it.
+var ErrDelegateUnavailable = errors.New("the order was not passed on to the delegate")
+
+// errNoResult means that the delegate has not returned the result of an order in time.
+var errNoResult = errors.New("the delegate has not returned a result")
+
+const (
+	// orderValidity is how long a delegate may take to send an order that it has received.
+	// Together with the timeout of the order itself it bounds how long the owner waits.
+	orderValidity = 200 * time.Millisecond
+	// resultMargin is added to the time that an order takes at the delegate, for the way
+	// there and back.
+	resultMargin = 150 * time.Millisecond
+	// orderTimeout is the timeout of an order at the delegate.
+	orderTimeout = 500 * time.Millisecond
+	// maxQueuedOrders bounds the orders that wait for a delegate. A delegate that does
+	// not keep up fills the queue, and the owner sends further orders itself.
+	maxQueuedOrders = 512
+	// maxBatch bounds the orders or results in one message.
+	maxBatch = 128
+	// streamRetryDelay is the time until another stream to a delegate is opened after
+	// one has failed.
+	streamRetryDelay = 3 * time.Second
+)
+
+// Runners sends orders to runners. Errors only serve the log; the returned events state
+// what is known about the result.
+type Runners interface {
+	Start(context.Context, *pool.StartTask) (*pool.TaskStarted, error)
+	Stop(context.Context, *pool.StopTask) (*pool.TaskStopped, error)
+	Poll(context.Context, *pool.PollRunner) (*pool.RunnerPolled, error)
+}
+
+// Delegate implements Runners: it passes orders on to a peer, which sends them. The peer
+// decides nothing, and the orders carry the fencing token of the owner. Orders that wait
+// are sent together. Get one with Peers.Delegate.
+type Delegate struct {
+	peers   *Peers
+	address string
+	queue   chan *carriedOrder
+
+	mu sync.Mutex
+	// pending holds the orders that were sent and await their result.
+	pending map[uint64]*carriedOrder
+	// running is true while a goroutine sends the queued orders, which cancel stops.
+	running bool
+	cancel  context.CancelFunc
+	// failedAt is when a stream last failed, lastResult when a result last arrived.
+	failedAt, lastResult time.Time
+	numbers              atomic.Uint64
+}
+
+// carriedOrder is an order on its way through a delegate.
+type carriedOrder struct {
+	order *ownerpb.Order
+	// stage arbitrates between the sender and an owner that withdraws the order.
+	stage  atomic.Int32
+	result chan *ownerpb.Result
+}
+
+// The stages of a carried order.
+const (
+	orderQueued int32 = iota
+	orderSent
+	orderWithdrawn
+)
+
+// Delegate returns the delegate at a peer's address.
+func (p *Peers) Delegate(address string) *Delegate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.delegates[address]
+	if d == nil {
+		d = &Delegate{
+			peers: p, address: address,
+			queue: make(chan *carriedOrder, maxQueuedOrders), pending: map[uint64]*carriedOrder{},
+		}
+		p.delegates[address] = d
+	}
+	return d
+}
+
+// Start implements Runners. The error is ErrDelegateUnavailable if the order was not
+// passed on.
+func (d *Delegate) Start(ctx context.Context, e *pool.StartTask) (*pool.TaskStarted, error) {
+	result, callResult, err := d.carry(ctx, 0, encodeStart(e))
+	return &pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: callResult, Clock: decodeClock(result)}, err
+}
+
+// Stop implements Runners, see Start.
+func (d *Delegate) Stop(ctx context.Context, e *pool.StopTask) (*pool.TaskStopped, error) {
+	result, callResult, err := d.carry(ctx, 0, encodeStop(e))
+	return &pool.TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: callResult, Clock: decodeClock(result)}, err
+}
+
+// Poll implements Runners, see Start.
+func (d *Delegate) Poll(ctx context.Context, e *pool.PollRunner) (*pool.RunnerPolled, error) {
+	polled := &pool.RunnerPolled{Runner: e.Runner.ID, Sent: time.Now()}
+	result, callResult, err := d.carry(ctx, e.Wait, encodePoll(e))
+	polled.CallResult, polled.Clock = callResult, decodeClock(result)
+	if decodeErr := decodePoll(polled, result); decodeErr != nil {
+		polled.CallResult = pool.Unknown
+		return polled, decodeErr
+	}
+	return polled, err
+}
+
+// carry passes an order on and awaits its result. Without one, the order may have been
+// carried out, unless the error is ErrDelegateUnavailable.
+func (d *Delegate) carry(ctx context.Context, wait time.Duration, order *ownerpb.Order) (*ownerpb.Result, pool.CallResult, error) {
+	order.Number = d.numbers.Add(1)
+	order.ValidNanoseconds = int64(orderValidity)
+	carried := &carriedOrder{order: order, result: make(chan *ownerpb.Result, 1)}
+	if !d.enqueue(carried) {
+		return nil, pool.NotSent, ErrDelegateUnavailable
+	}
+	passedOn := time.Now()
+	timer := time.NewTimer(orderValidity + orderTimeout + wait + resultMargin)
+	defer timer.Stop()
+	var result *ownerpb.Result
+	select {
+	case result = <-carried.result:
+	case <-timer.C:
+		d.timedOut(passedOn)
+	case <-ctx.Done():
+	}
+	d.forget(order.Number)
+	switch {
+	case result != nil && result.GetError() != "":
+		return result, decodeCallResult(result), errors.New(result.GetError())
+	case result != nil:
+		return result, decodeCallResult(result), nil
+	case carried.stage.CompareAndSwap(orderQueued, orderWithdrawn):
+		return nil, pool.NotSent, ErrDelegateUnavailable
+	}
+	return nil, pool.Unknown, fmt.Errorf("%w: %s", errNoResult, d.address)
+}
+
+// enqueue queues an order and opens a stream if there is none. It returns false if the
+// delegate has recently failed or does not keep up.
+func (d *Delegate) enqueue(carried *carriedOrder) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.running {
+		if time.Since(d.failedAt) < streamRetryDelay {
+			return false
+		}
+		d.running = true
+		ctx, cancel := context.WithCancel(d.peers.ctx)
+		d.cancel = cancel
+		go d.run(ctx)
+	}
+	select {
+	case d.queue <- carried:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Delegate) forget(number uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.pending, number)
+}
+
+// timedOut ends the stream if it has returned no result since an order was passed on: the
+// peer or the way there has failed. If there were others, only that order was lost.
+func (d *Delegate) timedOut(passedOn time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.running && d.lastResult.Before(passedOn) {
+		d.cancel()
+	}
+}
+
+// run sends the queued orders over a stream until that fails. The results of orders that
+// were sent are then unknown, and those that were not sent are returned as such.
+func (d *Delegate) run(ctx context.Context) {
+	err := d.stream(ctx)
+	d.cancel()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running, d.failedAt = false, time.Now()
+	d.peers.logger.Info("stream to delegate has ended", "peer", d.address, "unanswered", len(d.pending), "queued", len(d.queue), "error", err)
+	for number, carried := range d.pending {
+		carried.result <- &ownerpb.Result{CallResult: uint32(pool.Unknown), Error: errNoResult.Error()}
+		delete(d.pending, number)
+	}
+	for {
+		select {
+		case carried := <-d.queue:
+			carried.result <- nil
+		default:
+			return
+		}
+	}
+}
+
+func (d *Delegate) stream(ctx context.Context) error {
+	c, err := d.peers.connect(d.address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	openTimer := time.AfterFunc(maxReconnectDelay, cancel)
+	stream, err := ownerpb.NewOwnerClient(c.ClientConn).Carry(ctx)
+	if err != nil {
+		return err
+	}
+	openTimer.Stop()
+	go func() {
+		defer cancel()
+		d.receive(stream)
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case first := <-d.queue:
+			if orders := d.collect(first); len(orders) > 0 {
+				if err := stream.Send(&ownerpb.Orders{Orders: orders}); err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
+
+// collect returns an order with those that are queued behind it, without the withdrawn
+// ones, and records them as sent.
+func (d *Delegate) collect(first *carriedOrder) []*ownerpb.Order {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var orders []*ownerpb.Order
+	for carried := first; ; {
+		if carried.stage.CompareAndSwap(orderQueued, orderSent) {
+			d.pending[carried.order.Number] = carried
+			orders = append(orders, carried.order)
+		}
+		if len(orders) == maxBatch {
+			return orders
+		}
+		select {
+		case carried = <-d.queue:
+		default:
+			return orders
+		}
+	}
+}
+
+// receive passes results on until the stream ends.
+func (d *Delegate) receive(stream ownerpb.Owner_CarryClient) {
+	for {
+		results, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.lastResult = time.Now()
+		for _, result := range results.GetResults() {
+			if carried := d.pending[result.GetNumber()]; carried != nil {
+				delete(d.pending, result.GetNumber())
+				carried.result <- result
+			}
+		}
+		d.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/io/owner/delegate_test.go
@@ -0,0 +1,187 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"bronzestair/core/job"
+	"bronzestair/core/pool"
+	"bronzestair/io/owner/ownerpb"
+)
+
+// recordingRunners records the orders that a delegate carries out. Starts of the task with
+// index 1 wait until the context ends; polls of the runner "broken" panic.
+type recordingRunners struct {
+	orders chan any
+}
+
+func (r recordingRunners) Start(ctx context.Context, e *pool.StartTask) (*pool.TaskStarted, error) {
+	r.orders <- e
+	if e.Task.Index == 1 {
+		<-ctx.Done()
+	}
+	return &pool.TaskStarted{CallResult: pool.RefusedNoCapacity, Clock: pool.ClockReading{Clock: 7}}, errors.New("no room")
+}
+
+func (r recordingRunners) Stop(_ context.Context, e *pool.StopTask) (*pool.TaskStopped, error) {
+	r.orders <- e
+	return &pool.TaskStopped{CallResult: pool.Done, Clock: pool.ClockReading{Clock: 8}}, nil
+}
+
+func (r recordingRunners) Poll(_ context.Context, e *pool.PollRunner) (*pool.RunnerPolled, error) {
+	if e.Runner.ID == "broken" {
+		panic("malformed answer")
+	}
+	r.orders <- e
+	return &pool.RunnerPolled{
+		CallResult: pool.Done, Clock: pool.ClockReading{Clock: 9}, Born: time.UnixMilli(5), Truncated: true,
+		Running: []pool.RunningTask{{Task: delegateTask, Run: 2, Checkpoint: "c", ProgressPercent: 40, TailLatency: time.Second}},
+		Ended:   []pool.EndedTask{{Number: 3, Task: delegateTask, Run: 1, Result: pool.RunFailed, Checkpoint: "d"}},
+	}, nil
+}
+
+// delegateHandler is the Handler of an entry that only carries out orders.
+type delegateHandler struct {
+	Handler
+	runners recordingRunners
+}
+
+func (h delegateHandler) Runners() Runners { return h.runners }
+
+var (
+	delegateTask   = job.TaskID{Job: "00000000000000aa", Occurrence: 1, Step: 2, Index: 3}
+	delegateRunner = pool.Runner{ID: "r1", Address: "10.0.0.9:80"}
+	ignoreTimes    = cmp.Options{cmpopts.IgnoreFields(pool.ClockReading{}, "At"), cmpopts.IgnoreFields(pool.RunnerPolled{}, "Sent")}
+)
+
+func newDelegate(t *testing.T) (*Delegate, recordingRunners) {
+	t.Helper()
+	runners := recordingRunners{orders: make(chan any, 100)}
+	p, address := servePeers(t, delegateHandler{runners: runners})
+	return p.Delegate(address), runners
+}
+
+// TestDelegateCarriesOrders checks that orders and results arrive unchanged.
+func TestDelegateCarriesOrders(t *testing.T) {
+	d, runners := newDelegate(t)
+	ctx := t.Context()
+	start := &pool.StartTask{Runner: delegateRunner, Task: delegateTask, Run: 2, Payload: "p", Checkpoint: "c", Ticket: "t", Until: 11, Fence: 12}
+	stop := &pool.StopTask{Runner: delegateRunner, Task: delegateTask, Run: 2, Fence: 12}
+	poll := &pool.PollRunner{Runner: delegateRunner, Until: 13, Fence: 12, Acknowledged: 14, Wait: time.Millisecond}
+	for _, c := range []struct {
+		name   string
+		order  any
+		call   func() (any, error)
+		result any
+		err    string
+	}{
+		{"start", start, func() (any, error) { return d.Start(ctx, start) }, &pool.TaskStarted{
+			Runner: "r1", Task: delegateTask, Run: 2, CallResult: pool.RefusedNoCapacity, Clock: pool.ClockReading{Clock: 7},
+		}, "no room"},
+		{"stop", stop, func() (any, error) { return d.Stop(ctx, stop) }, &pool.TaskStopped{
+			Runner: "r1", Task: delegateTask, Run: 2, CallResult: pool.Done, Clock: pool.ClockReading{Clock: 8},
+		}, ""},
+		{"poll", poll, func() (any, error) { return d.Poll(ctx, poll) }, &pool.RunnerPolled{
+			Runner: "r1", CallResult: pool.Done, Clock: pool.ClockReading{Clock: 9}, Born: time.UnixMilli(5), Truncated: true,
+			Running: []pool.RunningTask{{Task: delegateTask, Run: 2, Checkpoint: "c", ProgressPercent: 40, TailLatency: time.Second}},
+			Ended:   []pool.EndedTask{{Number: 3, Task: delegateTask, Run: 1, Result: pool.RunFailed, Checkpoint: "d"}},
+		}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			result, err := c.call()
+			if diff := cmp.Diff(c.result, result, ignoreTimes); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+			if (err == nil) != (c.err == "") || err != nil && err.Error() != c.err {
+				t.Errorf("error = %v, want %q", err, c.err)
+			}
+			if diff := cmp.Diff(c.order, <-runners.orders); diff != "" {
+				t.Errorf("order (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestPanicAtDelegateFailsOneOrder guards against a malformed answer that ends a delegate.
+func TestPanicAtDelegateFailsOneOrder(t *testing.T) {
+	d, _ := newDelegate(t)
+	polled, err := d.Poll(t.Context(), &pool.PollRunner{Runner: pool.Runner{ID: "broken"}})
+	if err == nil || polled.CallResult != pool.Unknown {
+		t.Errorf("poll = %v, %v, want an unknown result", polled.CallResult, err)
+	}
+	if _, err := d.Stop(t.Context(), &pool.StopTask{Runner: delegateRunner, Task: delegateTask}); err != nil {
+		t.Errorf("stop after the panic: %v", err)
+	}
+}
+
+// TestOrdersOfLostDelegate checks what an owner knows of its orders when a delegate dies:
+// one that was passed on may have been carried out, a later one certainly was not.
+func TestOrdersOfLostDelegate(t *testing.T) {
+	runners := recordingRunners{orders: make(chan any, 100)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	go NewPeers(delegateHandler{runners: runners}, slog.New(slog.DiscardHandler)).Serve(ctx, listener)
+	d := NewPeers(nil, slog.New(slog.DiscardHandler)).Delegate(listener.Addr().String())
+	hanging := delegateTask
+	hanging.Index = 1
+	results := make(chan *pool.TaskStarted, 1)
+	go func() {
+		started, _ := d.Start(t.Context(), &pool.StartTask{Runner: delegateRunner, Task: hanging, Run: 1})
+		results <- started
+	}()
+	<-runners.orders // the delegate has the order
+	stop()
+	if got := (<-results).CallResult; got != pool.Unknown {
+		t.Errorf("result of the order that was passed on = %v, want unknown", got)
+	}
+	started, err := d.Start(t.Context(), &pool.StartTask{Runner: delegateRunner, Task: delegateTask, Run: 1})
+	if !errors.Is(err, ErrDelegateUnavailable) || started.CallResult != pool.NotSent {
+		t.Errorf("start after the loss = %v, %v, want notSent and ErrDelegateUnavailable", started.CallResult, err)
+	}
+}
+
+// TestExpiredOrderIsNotCarriedOut guards against a delegate that was paused and then acts
+// on an order that it received before, by the monotonic or by the wall clock.
+func TestExpiredOrderIsNotCarriedOut(t *testing.T) {
+	runners := recordingRunners{orders: make(chan any, 1)}
+	s := &server{handler: delegateHandler{runners: runners}, logger: slog.New(slog.DiscardHandler)}
+	order := encodeStop(&pool.StopTask{Runner: delegateRunner, Task: delegateTask})
+	order.ValidNanoseconds = int64(orderValidity)
+	now := time.Now()
+	for name, received := range map[string]time.Time{
+		"monotonic clock": now.Add(-orderValidity - time.Millisecond),
+		"wall clock":      now.Round(0).Add(-orderValidity - time.Millisecond),
+	} {
+		result := s.carryOut(t.Context(), received, order)
+		if diff := cmp.Diff(pool.NotSent, decodeCallResult(result)); diff != "" {
+			t.Errorf("%s: result (-want +got):\n%s", name, diff)
+		}
+	}
+	if n := len(runners.orders); n != 0 {
+		t.Errorf("%d expired orders were carried out", n)
+	}
+}
+
+// FuzzCarryOut checks that no order makes a delegate panic or answer as if it were done.
+func FuzzCarryOut(f *testing.F) {
+	f.Add("00000000000000aa.0.1.2", int64(1), "r1")
+	f.Add("..-1.", int64(-1), "")
+	f.Fuzz(func(t *testing.T, task string, run int64, runner string) {
+		s := &server{handler: delegateHandler{runners: recordingRunners{orders: make(chan any, 1)}}, logger: slog.New(slog.DiscardHandler)}
+		order := &ownerpb.Order{Runner: runner, ValidNanoseconds: int64(time.Minute), Order: &ownerpb.Order_Stop{Stop: &ownerpb.Stop{Task: task, Run: run}}}
+		_, err := job.ParseTaskID(task)
+		if got := decodeCallResult(s.carryOut(t.Context(), time.Now(), order)); (got == pool.Done) != (err == nil) {
+			t.Errorf("task %q: result %v with parse error %v", task, got, err)
+		}
+	})
+}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -99,6 +99,8 @@
 	ClaimsChanged()
 	// Yield releases a shard to an entry of larger capacity that has requested it.
 	Yield(ctx context.Context, shard string) error
+	// Runners sends the orders that this entry carries out as a delegate.
+	Runners() Runners
 	// DirectStore returns the store for relayed calls. It must not relay them to
 	// another peer.
 	DirectStore() Store
@@ -114,7 +116,11 @@
 	mu          sync.Mutex
 	connections map[string]*connection
 	// retired holds the connections that are closed after retireDelay.
-	retired map[*connection]struct{}
+	retired   map[*connection]struct{}
+	delegates map[string]*Delegate
+	// ctx ends with Serve.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // connection is a client connection with its number of consecutive failed calls.
@@ -125,22 +131,26 @@
 
 // NewPeers returns peers whose server is started by Serve.
 func NewPeers(handler Handler, logger *slog.Logger) *Peers {
-	return &Peers{
+	p := &Peers{
 		handler: handler, logger: logger,
-		connections: map[string]*connection{}, retired: map[*connection]struct{}{},
+		connections: map[string]*connection{}, retired: map[*connection]struct{}{}, delegates: map[string]*Delegate{},
 	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	return p
 }
 
 // Serve handles calls of peers until the context ends.
 func (p *Peers) Serve(ctx context.Context, listener net.Listener) error {
+	handler := &server{handler: p.handler, logger: p.logger}
 	s := grpc.NewServer(
-		grpc.UnaryInterceptor(p.recoverPanic),
+		grpc.UnaryInterceptor(handler.recoverPanic),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	)
-	ownerpb.RegisterOwnerServer(s, &server{handler: p.handler})
+	ownerpb.RegisterOwnerServer(s, handler)
 	stop := context.AfterFunc(ctx, s.Stop)
 	defer stop()
+	defer p.cancel()
 	defer p.close()
 	if err := s.Serve(listener); !errors.Is(err, grpc.ErrServerStopped) {
 		return err
@@ -150,18 +160,17 @@
 
 // recoverPanic is an interceptor that answers a call whose handler panics with an error,
 // so that a malformed message does not end the process. The call may have had an effect.
-func (p *Peers) recoverPanic(ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (reply any, err error) {
-	returned := false
-	defer func() {
-		if !returned {
-			cause := recover()
-			p.logger.Error("panic", "work", info.FullMethod, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
-			err = status.Errorf(codes.Internal, "panic: %v", cause)
-		}
-	}()
-	reply, err = handle(ctx, request)
-	returned = true
-	return reply, err
+func (s *server) recoverPanic(ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (reply any, err error) {
+	err = status.Error(codes.Internal, "panic")
+	defer s.logPanic(info.FullMethod)
+	return handle(ctx, request)
+}
+
+// logPanic recovers a panic and logs it with its stack. It is deferred.
+func (s *server) logPanic(work string) {
+	if cause := recover(); cause != nil {
+		s.logger.Error("panic", "work", work, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	}
 }
 
 func (p *Peers) close() {
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -16,6 +17,7 @@
 type server struct {
 	ownerpb.UnimplementedOwnerServer
 	handler Handler
+	logger  *slog.Logger
 }
 
 func statusError(err error) error {
