Send the orders of large pools through delegates

Change: from 100 runners on, each runner's orders go through an entry in its data centre that owns nothing, chosen by hash, one for some 16 runners; the next one and then the owner itself take over an order that was certainly not passed on. The limits on calls follow the capacity of all that take part, up to 2.5 times that of a core. Decisions, fencing token and what is known of a run stay the owner's. Smaller pools work as before.

Weighed: a pool in parts with an owner each (gangs, racks and wide jobs would span owners; not tried).

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bronzestair/core/process"
 )
 
 const (
@@ -32,6 +34,8 @@
 	Name       string `json:"name"`
 	Address    string `json:"address"`
 	DataCentre string `json:"dataCentre"`
+	// Capacity is the entry's share of its machine's resources.
+	process.Capacity
 	// Refreshes counts the writes of the row, so that each one changes it.
 	Refreshes uint64 `json:"refreshes"`
 }
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -38,6 +38,9 @@
 	Recovered bool
 }
 
+// Size returns the number of known runners.
+func (p *Pool) Size() int { return len(p.runnerOrder) }
+
 // Report returns the pool's load.
 func (p *Pool) Report(now time.Time) Report {
 	report := Report{Pool: p.options.Pool, Recovered: p.Recovered(now)}
--- a/core/pool/scale.go
+++ b/core/pool/scale.go
@@ -17,6 +17,9 @@
 )
 
 const (
+	// maxCallFactor limits the calls of an owner with delegates to a multiple of those
+	// of a full core, as the owner still decides on each and handles each result.
+	maxCallFactor = 2.5
 	// pollLinkShare is the share of the link for polls. The rest is left to starts,
 	// the store and callers.
 	pollLinkShare = 0.5
@@ -31,8 +34,8 @@
 func (o Options) ScaledTo(capacity process.Capacity) Options {
 	polls, starts := float64(DefaultPollRate), float64(DefaultMaxStartsInFlight)
 	if capacity.CPUs > 0 {
-		polls *= capacity.CPUs
-		starts *= capacity.CPUs
+		polls *= min(capacity.CPUs, maxCallFactor)
+		starts *= min(capacity.CPUs, maxCallFactor)
 	}
 	if capacity.LinkRate > 0 {
 		polls = min(polls, pollLinkShare*capacity.LinkRate.MessagesPerSecond(pollBytes))
@@ -41,3 +44,14 @@
 	o.PollRate, o.MaxStartsInFlight = max(1, int(polls)), max(1, int(starts))
 	return o
 }
+
+// CapacityChanged reports the capacity of all processes that send the pool's calls.
+type CapacityChanged struct {
+	Capacity process.Capacity
+}
+
+// apply implements Event.
+func (e *CapacityChanged) apply(p *Pool, _ time.Time) {
+	p.options = p.options.ScaledTo(e.Capacity)
+	p.dispatchNeeded = true
+}
--- a/manager/members.go
+++ b/manager/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,7 +26,7 @@
 // maintainMembership writes this entry's row and reads those of the others until the
 // context ends.
 func (m *Manager) maintainMembership(ctx context.Context) {
-	self := membership.Member{Name: m.options.Name, Address: m.options.Address, DataCentre: m.options.DataCentre}
+	self := membership.Member{Name: m.options.Name, Address: m.options.Address, DataCentre: m.options.DataCentre, Capacity: m.options.Capacity}
 	sleep(ctx, time.Duration(xxhash.Sum64String(self.Name)%uint64(maxMemberDelay)))
 	m.writeMember(ctx, self)
 	sleep(ctx, maxMemberDelay)
@@ -103,17 +104,19 @@
 // relayPeers returns the addresses of the peers that may relay calls to the store. Those
 // that hold no claim come first, as the owners of pools have the most work of their own.
 func (m *Manager) relayPeers() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	holders := map[string]bool{}
 	out := []string{}
-	for _, address := range m.tracker.Peers() {
-		holders[address] = true
-	}
-	for _, member := range m.members.Peers(time.Now()) {
-		if !holders[member.Address] {
-			out = append(out, member.Address)
-		}
+	for _, member := range m.membersWithoutClaims() {
+		out = append(out, member.Address)
 	}
-	return append(out, m.tracker.Peers()...)
+	return append(out, m.otherEntries()...)
+}
+
+// membersWithoutClaims returns the other members that hold no claim, as far as is known.
+func (m *Manager) membersWithoutClaims() []membership.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	holders := m.tracker.Peers()
+	return slices.DeleteFunc(m.members.Peers(time.Now()), func(member membership.Member) bool {
+		return slices.Contains(holders, member.Address)
+	})
 }
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -8,6 +8,7 @@
 	"bronzestair/core/job"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
+	"bronzestair/core/process"
 )
 
 // Timing of a pool's owner.
@@ -53,6 +54,12 @@
 	// queries are functions to be run between two batches of events.
 	queries chan func(context.Context, *pool.Pool)
 	writer  *writer
+	// runners sends the pool's orders.
+	runners *delegatedRunners
+	// delegatesRevisedAt is when the delegates were last revised, capacity that of all
+	// entries that send the pool's orders.
+	delegatesRevisedAt time.Time
+	capacity           process.Capacity
 
 	// lastCordoned is when cordons were last received, or zero if they have expired.
 	lastCordoned time.Time
@@ -73,6 +80,8 @@
 		done:      make(chan struct{}),
 	}
 	o.writer = newWriter(m.store, o, m.logger)
+	o.runners = newDelegatedRunners(m)
+	o.capacity = m.options.Capacity
 	return o
 }
 
@@ -124,6 +133,7 @@
 			o.expireCordons(ctx, p)
 			o.reduce(ctx, p, pool.Ticked{})
 			o.observe(p)
+			o.reviseDelegates(ctx, p)
 		case <-expiryTicker.C:
 			p.Expire(time.Now(), o.m.options.Retention)
 		}
@@ -253,7 +263,7 @@
 		return
 	}
 	sent := time.Now()
-	answer, err := o.m.runners.Start(ctx, e)
+	answer, err := o.runners.Start(ctx, e)
 	took := o.measureCall(CallStart, answer.CallResult, sent)
 	answer.Took = took
 	if err != nil || !answer.CallResult.Answered() {
@@ -266,7 +276,7 @@
 
 func (o *poolOwner) stop(ctx context.Context, e *pool.StopTask) {
 	sent := time.Now()
-	answer, err := o.m.runners.Stop(ctx, e)
+	answer, err := o.runners.Stop(ctx, e)
 	took := o.measureCall(CallStop, answer.CallResult, sent)
 	if err != nil || !answer.CallResult.Answered() {
 		o.m.logger.Warn("stop has no answer", "pool", o.name, "job", e.Task.Job, "task", e.Task.String(), "run", e.Run, "runner", e.Runner.ID,
@@ -282,7 +292,7 @@
 		return
 	}
 	sent := time.Now()
-	answer, err := o.m.runners.Poll(ctx, e)
+	answer, err := o.runners.Poll(ctx, e)
 	took := o.measureCall(CallPoll, answer.CallResult, sent)
 	// Of a series of calls without an answer, only the polls 1, 2, 4, 8 and so on are logged.
 	if n := e.FailedCalls + 1; !answer.CallResult.Answered() && bits.OnesCount(uint(n)) == 1 {
