Notice delegates that are cut off within half a second

An order to such a delegate had no result for 0.85 s, and each attempt to open another stream held orders up for 0.5 s, every 3 s. Change: a delegate sends a message every 0.15 s, from the opening of the stream on; without one for 0.5 s the owner gives the stream up. Orders are passed on only over an open stream, and attempts to open one back off to 16 s (TestSilentDelegateIsGivenUp).

--- a/io/owner/carry.go
+++ b/io/owner/carry.go
@@ -19,7 +19,8 @@
 var errOrderExpired = errors.New("the order has expired at the delegate")
 
 // Carry implements ownerpb.OwnerServer: it carries out the orders of an owner and returns
-// their results, those that are ready together.
+// their results, those that are ready together. Messages without results, from the
+// beginning of the stream on, show the owner that this entry and the way to it work.
 func (s *server) Carry(stream ownerpb.Owner_CarryServer) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
@@ -55,11 +56,17 @@
 }
 
 func sendResults(ctx context.Context, stream ownerpb.Owner_CarryServer, results <-chan *ownerpb.Result) {
+	if err := stream.Send(&ownerpb.Results{}); err != nil {
+		return
+	}
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
 	for {
 		var batch []*ownerpb.Result
 		select {
 		case <-ctx.Done():
 			return
+		case <-heartbeat.C:
 		case first := <-results:
 			batch = append(batch, first)
 		}
--- a/io/owner/delegate.go
+++ b/io/owner/delegate.go
@@ -33,9 +33,14 @@
 	maxQueuedOrders = 512
 	// maxBatch bounds the orders or results in one message.
 	maxBatch = 128
-	// streamRetryDelay is the time until another stream to a delegate is opened after
-	// one has failed.
-	streamRetryDelay = 3 * time.Second
+	// After a stream to a delegate has failed, another one is opened after
+	// minStreamRetryDelay, and after twice the delay with each further failure.
+	minStreamRetryDelay = 1 * time.Second
+	maxStreamRetryDelay = 16 * time.Second
+	// heartbeatInterval is the period at which a delegate sends a message without
+	// results. After silenceLimit without any message, an owner gives the stream up.
+	heartbeatInterval = 150 * time.Millisecond
+	silenceLimit      = 500 * time.Millisecond
 )
 
 // Runners sends orders to runners. Errors only serve the log; the returned events state
@@ -57,12 +62,14 @@
 	mu sync.Mutex
 	// pending holds the orders that were sent and await their result.
 	pending map[uint64]*carriedOrder
-	// running is true while a goroutine sends the queued orders, which cancel stops.
-	running bool
-	cancel  context.CancelFunc
-	// failedAt is when a stream last failed, lastResult when a result last arrived.
-	failedAt, lastResult time.Time
-	numbers              atomic.Uint64
+	// running is true while there is a stream or one is being opened, open once the
+	// delegate has sent a message on it.
+	running, open bool
+	// retryAt is when another stream may be opened after one has failed, retryDelay the
+	// delay until then.
+	retryAt    time.Time
+	retryDelay time.Duration
+	numbers    atomic.Uint64
 }
 
 // carriedOrder is an order on its way through a delegate.
@@ -129,14 +136,12 @@
 	if !d.enqueue(carried) {
 		return nil, pool.NotSent, ErrDelegateUnavailable
 	}
-	passedOn := time.Now()
 	timer := time.NewTimer(orderValidity + orderTimeout + wait + resultMargin)
 	defer timer.Stop()
 	var result *ownerpb.Result
 	select {
 	case result = <-carried.result:
 	case <-timer.C:
-		d.timedOut(passedOn)
 	case <-ctx.Done():
 	}
 	d.forget(order.Number)
@@ -151,19 +156,17 @@
 	return nil, pool.Unknown, fmt.Errorf("%w: %s", errNoResult, d.address)
 }
 
-// enqueue queues an order and opens a stream if there is none. It returns false if the
-// delegate has recently failed or does not keep up.
+// enqueue queues an order. It returns false if there is no open stream or the delegate does
+// not keep up. If there is no stream, it starts to open one.
 func (d *Delegate) enqueue(carried *carriedOrder) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.running {
-		if time.Since(d.failedAt) < streamRetryDelay {
-			return false
-		}
+	if !d.running && !time.Now().Before(d.retryAt) {
 		d.running = true
-		ctx, cancel := context.WithCancel(d.peers.ctx)
-		d.cancel = cancel
-		go d.run(ctx)
+		go d.run()
+	}
+	if !d.open {
+		return false
 	}
 	select {
 	case d.queue <- carried:
@@ -179,24 +182,15 @@
 	delete(d.pending, number)
 }
 
-// timedOut ends the stream if it has returned no result since an order was passed on: the
-// peer or the way there has failed. If there were others, only that order was lost.
-func (d *Delegate) timedOut(passedOn time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.running && d.lastResult.Before(passedOn) {
-		d.cancel()
-	}
-}
-
 // run sends the queued orders over a stream until that fails. The results of orders that
 // were sent are then unknown, and those that were not sent are returned as such.
-func (d *Delegate) run(ctx context.Context) {
-	err := d.stream(ctx)
-	d.cancel()
+func (d *Delegate) run() {
+	err := d.stream()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running, d.failedAt = false, time.Now()
+	d.running, d.open = false, false
+	d.retryDelay = min(max(2*d.retryDelay, minStreamRetryDelay), maxStreamRetryDelay)
+	d.retryAt = time.Now().Add(d.retryDelay)
 	d.peers.logger.Info("stream to delegate has ended", "peer", d.address, "unanswered", len(d.pending), "queued", len(d.queue), "error", err)
 	for number, carried := range d.pending {
 		carried.result <- &ownerpb.Result{CallResult: uint32(pool.Unknown), Error: errNoResult.Error()}
@@ -212,22 +206,24 @@
 	}
 }
 
-func (d *Delegate) stream(ctx context.Context) error {
+// errSilentDelegate means that a delegate has sent no message for silenceLimit.
+var errSilentDelegate = errors.New("the delegate is silent")
+
+func (d *Delegate) stream() error {
 	c, err := d.peers.connect(d.address)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	openTimer := time.AfterFunc(maxReconnectDelay, cancel)
+	ctx, cancel := context.WithCancelCause(d.peers.ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(maxReconnectDelay, func() { cancel(errSilentDelegate) })
+	defer watchdog.Stop()
 	stream, err := ownerpb.NewOwnerClient(c.ClientConn).Carry(ctx)
 	if err != nil {
 		return err
 	}
-	openTimer.Stop()
 	go func() {
-		defer cancel()
-		d.receive(stream)
+		cancel(d.receive(stream, watchdog))
 	}()
 	for {
 		select {
@@ -266,14 +262,15 @@
 }
 
 // receive passes results on until the stream ends.
-func (d *Delegate) receive(stream ownerpb.Owner_CarryClient) {
+func (d *Delegate) receive(stream ownerpb.Owner_CarryClient, watchdog *time.Timer) error {
 	for {
 		results, err := stream.Recv()
 		if err != nil {
-			return
+			return err
 		}
+		watchdog.Reset(silenceLimit)
 		d.mu.Lock()
-		d.lastResult = time.Now()
+		d.open, d.retryDelay = true, 0
 		for _, result := range results.GetResults() {
 			if carried := d.pending[result.GetNumber()]; carried != nil {
 				delete(d.pending, result.GetNumber())
