--- a/core/maintenance/findings_test.go
+++ b/core/maintenance/findings_test.go
@@ -119,6 +119,7 @@
 	f.send(&OrderAnswered{Instance: "m0", Result: Accepted})
 	want(t, "cordoned after the acceptance", cordoned(), []pool.RunnerID{"r0"})
 	f.instances[0].State = Upkeep
+	f.now = f.now.Add(time.Millisecond)
 	f.list()
 	want(t, "cordoned once the runner is known to have ended", cordoned(), []pool.RunnerID(nil))
 }
