--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -75,10 +75,11 @@
 		return o.writer.storeNewJob(ctx, record, value)
 	}
 	address := m.ownerAddress(record.Pool)
-	if address == "" {
+	if address == "" || m.breakers.open(time.Now(), address) {
 		return NotStored, errNoOwner
 	}
 	result, err := m.peers.Submit(ctx, address, record.Pool, value)
+	m.breakers.record(time.Now(), address, err)
 	switch {
 	case errors.Is(err, owner.ErrNotOwner):
 		return NotStored, err
@@ -137,12 +138,13 @@
 		return state
 	}
 	address := m.ownerAddress(name)
-	if address == "" {
+	if address == "" || m.breakers.open(time.Now(), address) {
 		return ""
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	state, err := m.peers.State(ctx, address, name, id)
+	m.breakers.record(time.Now(), address, err)
 	if err != nil {
 		m.logger.Info("cannot get job state from owner", "job", id, "owner", address, "error", err)
 	}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -105,6 +105,8 @@
 	peers     *owner.Peers
 	// direct stores jobs whose pool's owner does not answer.
 	direct *writer
+	// breakers leave out calls to owners that do not answer.
+	breakers breakers
 	logger *slog.Logger
 
 	catalog catalog.Holder
