Spread the relayed calls of one entry over several peers

Change: the calls begin with one of eight peers by a hash of the partition or table; entries with more processor time are preferred (weighted rendezvous hashing). TestRelayedCallsSpreadOverPeers.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -74,19 +75,20 @@
 
 // Peers returns the other members, those of the own data centre first. Each entry gets
 // them in an order of its own, so that entries that need help at the same time do not all
-// ask the same peer.
+// ask the same peer, and the larger ones more often at the front (weighted rendezvous
+// hashing).
 func (t *Tracker) Peers(now time.Time) []Member {
 	type candidate struct {
 		Member
 		remote bool
-		weight uint64
+		score  float64
 	}
 	var candidates []candidate
 	for _, m := range t.members {
 		if m.Name == t.name || now.Sub(m.changedAt) > Lifetime {
 			continue
 		}
-		candidates = append(candidates, candidate{m.Member, m.DataCentre != t.dataCentre, xxhash.Sum64String(t.name + "/" + m.Name)})
+		candidates = append(candidates, candidate{m.Member, m.DataCentre != t.dataCentre, t.score(m.Member)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		switch {
@@ -95,7 +97,7 @@
 		case a.remote != b.remote:
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
 	})
 	out := make([]Member, len(candidates))
 	for i, c := range candidates {
@@ -103,3 +105,15 @@
 	}
 	return out
 }
+
+// score ranks a member for this entry; the lowest is the best. A member with twice the
+// processor time is the best one for twice as many entries.
+func (t *Tracker) score(m Member) float64 {
+	const hashRange = 1 << 64
+	uniform := (float64(xxhash.Sum64String(t.name+"/"+m.Name)) + 1) / hashRange
+	cpus := m.CPUs
+	if cpus == 0 {
+		cpus = 1
+	}
+	return -math.Log(uniform) / cpus
+}
--- a/manager/failover_store.go
+++ b/manager/failover_store.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"bronzestair/core/table"
 	"bronzestair/core/verdict"
 	"bronzestair/io/owner"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Timing of the failover to peers. It covers outages in which the store refuses some
@@ -23,6 +26,9 @@
 	// maxRelayAttempts bounds the peers that are tried for one call. Only a peer that
 	// refuses the call at once lets another one be tried.
 	maxRelayAttempts = 4
+	// relaySpread is the number of peers over which the calls of one entry are spread. The
+	// owner of a pool in a load peak has more calls than a small entry can relay.
+	relaySpread = 8
 )
 
 // failoverStore calls the store directly, or through peers while the direct path is
@@ -35,10 +41,10 @@
 	logger        *slog.Logger
 
 	mu sync.Mutex
-	// lastWorkingPeer is the peer through which the store answered last, or "" if a call
-	// through it has failed since. failedAt is when a call through each peer last failed.
-	lastWorkingPeer string
-	failedAt        map[string]time.Time
+	// workingPeers holds the peers through which the store has answered since the direct
+	// path is down. failedAt is when a call through each peer last failed.
+	workingPeers map[string]bool
+	failedAt     map[string]time.Time
 	// lastRelayResponse is when the store last answered a relayed call.
 	lastRelayResponse time.Time
 	directFailures    int
@@ -57,7 +63,7 @@
 	return &failoverStore{
 		direct: direct, relay: func(address string) owner.Store { return peers.Relay(address) },
 		peerAddresses: peerAddresses, logger: logger,
-		failedAt: map[string]time.Time{}, pending: map[*pendingCall]struct{}{}, createdAt: time.Now(),
+		workingPeers: map[string]bool{}, failedAt: map[string]time.Time{}, pending: map[*pendingCall]struct{}{}, createdAt: time.Now(),
 	}
 }
 
@@ -106,23 +112,25 @@
 		return
 	}
 	r.directFailures = 0
+	clear(r.workingPeers)
 }
 
-// candidates returns the peers to try, the last one that succeeded first. Peers that
-// failed within the last two probe intervals are left out.
-func (r *failoverStore) candidates() []string {
+// candidates returns the peers to try for a call. Calls with the same key, which names what
+// they read or write, begin with the same peer. Peers that failed within the last two probe
+// intervals are left out.
+func (r *failoverStore) candidates(key string) []string {
 	addresses := r.peerAddresses()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
-	for _, address := range addresses {
-		switch {
-		case address == r.lastWorkingPeer:
-			out = append([]string{address}, out...)
-		case time.Since(r.failedAt[address]) > 2*probeInterval:
-			out = append(out, address)
-		}
+	usable := slices.DeleteFunc(addresses, func(address string) bool {
+		return time.Since(r.failedAt[address]) <= 2*probeInterval
+	})
+	usable = usable[:min(len(usable), relaySpread)]
+	if len(usable) == 0 {
+		return nil
 	}
+	first := int(xxhash.Sum64String(key) % uint64(len(usable)))
+	out := append(slices.Clone(usable[first:]), usable[:first]...)
 	return out[:min(len(out), maxRelayAttempts)]
 }
 
@@ -133,15 +141,13 @@
 	var failed *table.Failure
 	if errors.As(err, &failed) && !failed.HistoryLost {
 		r.failedAt[address] = time.Now()
-		if r.lastWorkingPeer == address {
-			r.lastWorkingPeer = ""
-		}
+		delete(r.workingPeers, address)
 		return
 	}
-	if r.lastWorkingPeer != address {
+	if !r.workingPeers[address] {
 		r.logger.Warn("store is reached through a peer", "peer", address, "directAge", time.Since(r.direct.LastResponse()))
 	}
-	r.lastWorkingPeer = address
+	r.workingPeers[address] = true
 	r.lastRelayResponse = time.Now()
 }
 
@@ -163,8 +169,8 @@
 
 // callStore makes a call, which the store may hold back for wait, directly, or through
 // peers while the direct path is down. A call that may have taken effect is not repeated
-// here: that is up to its caller.
-func callStore[T any](r *failoverStore, wait time.Duration, call func(owner.Store) (T, error)) (T, error) {
+// here: that is up to its caller. See candidates for the key.
+func callStore[T any](r *failoverStore, key string, wait time.Duration, call func(owner.Store) (T, error)) (T, error) {
 	var value T
 	var err error
 	if !r.directDown() {
@@ -176,7 +182,7 @@
 			return value, err
 		}
 	}
-	for _, address := range r.candidates() {
+	for _, address := range r.candidates(key) {
 		value, err = call(r.relay(address))
 		r.recordRelayed(address, err)
 		if !notRun(err) {
@@ -197,22 +203,22 @@
 
 // Commit implements Store.
 func (r *failoverStore) Commit(ctx context.Context, tx *table.Tx) (table.Version, error) {
-	return callStore(r, 0, func(s owner.Store) (table.Version, error) { return s.Commit(ctx, tx) })
+	return callStore(r, tx.Part, 0, func(s owner.Store) (table.Version, error) { return s.Commit(ctx, tx) })
 }
 
 // Rows implements Store.
 func (r *failoverStore) Rows(ctx context.Context, name, part, from, to string) (*table.Page, error) {
-	return callStore(r, 0, func(s owner.Store) (*table.Page, error) { return s.Rows(ctx, name, part, from, to) })
+	return callStore(r, name+"/"+part, 0, func(s owner.Store) (*table.Page, error) { return s.Rows(ctx, name, part, from, to) })
 }
 
 // Parts implements Store.
 func (r *failoverStore) Parts(ctx context.Context, name string) ([]string, error) {
-	return callStore(r, 0, func(s owner.Store) ([]string, error) { return s.Parts(ctx, name) })
+	return callStore(r, name, 0, func(s owner.Store) ([]string, error) { return s.Parts(ctx, name) })
 }
 
 // Feed implements Store.
 func (r *failoverStore) Feed(ctx context.Context, name string, after table.Version, wait time.Duration) (*table.Page, error) {
-	return callStore(r, wait, func(s owner.Store) (*table.Page, error) { return s.Feed(ctx, name, after, wait) })
+	return callStore(r, name, wait, func(s owner.Store) (*table.Page, error) { return s.Feed(ctx, name, after, wait) })
 }
 
 // probeDirect tests the direct path while it is down.
--- a/manager/failover_store_test.go
+++ b/manager/failover_store_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,3 +119,39 @@
 	m.tracker.Observe(now, []ownership.Row{{Shard: fleetShard, Claim: ownership.Claim{Holder: "entry-2", Address: "a2"}, Version: 1}})
 	want(t, "peers", m.relayPeers(), []string{"a3", "a2"})
 }
+
+// TestRelayedCallsSpreadOverPeers guards against an owner in a load peak that relays all
+// its transactions through one small peer. On scale-2 of the large Skywatch site, the owner
+// of lodging was cut off from the store for 12 s, and jobs were accepted after 0.4 to 0.9 s.
+func TestRelayedCallsSpreadOverPeers(t *testing.T) {
+	const parts = 8
+	shared := newMemoryStore()
+	used := map[string]int{}
+	peers := []string{"a", "b", "refusing", "c", "d", "e", "f", "g", "h", "i"}
+	r := newFailoverStore(hangingStore{newMemoryStore()}, nil, func() []string { return slices.Clone(peers) }, slog.New(slog.DiscardHandler))
+	r.createdAt = time.Now().Add(-time.Minute)
+	r.directFailures = 2
+	r.relay = func(address string) owner.Store {
+		if address == "refusing" {
+			return unreachableStore{}
+		}
+		used[address]++
+		return shared
+	}
+	for range 2 {
+		for part := range parts {
+			if _, err := r.Commit(t.Context(), &table.Tx{Part: fmt.Sprint("seats-", part)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	const most = parts // half of the transactions
+	for address, n := range used {
+		if n > most {
+			t.Errorf("%d of %d transactions went through peer %s", n, 2*parts, address)
+		}
+	}
+	if len(used) < parts/2 {
+		t.Errorf("transactions of %d parts went through %d peers", parts, len(used))
+	}
+}
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -107,7 +107,7 @@
 	direct *writer
 	// breakers leave out calls to owners that do not answer.
 	breakers breakers
-	logger *slog.Logger
+	logger   *slog.Logger
 
 	catalog catalog.Holder
 	// claimsVersion is the table version up to which claims have been read.
