Check the claim again before an order goes another way

An order may wait for a delegate that then turns out not to be available, and an owner may be paused meanwhile. Its claim was checked before the first attempt only.

--- a/io/owner/carry.go
+++ b/io/owner/carry.go
@@ -85,16 +85,20 @@
 	}
 }
 
-// holdTime returns how long an order has been held: the longer time by the monotonic and
-// the wall clock, because the monotonic clock may stop while the machine is suspended.
+// heldSince returns how long an order has been held.
+func heldSince(now, since time.Time) time.Duration {
+	return holdTime(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
+// holdTime returns the longer time by the monotonic and the wall clock, because the
+// monotonic clock may stop while the machine is suspended.
 func holdTime(monotonic, wall time.Duration) time.Duration { return max(monotonic, wall) }
 
 // carryOut sends one order. A panic, as after a malformed answer, only fails the order.
 func (s *server) carryOut(ctx context.Context, received time.Time, order *ownerpb.Order) (result *ownerpb.Result) {
 	result = &ownerpb.Result{CallResult: uint32(pool.Unknown), Error: "panic at the delegate"}
 	defer s.logPanic("Carry")
-	now := time.Now()
-	if holdTime(now.Sub(received), now.Round(0).Sub(received.Round(0))) > time.Duration(order.GetValidNanoseconds()) {
+	if heldSince(time.Now(), received) > time.Duration(order.GetValidNanoseconds()) {
 		return encodeResult(pool.NotSent, pool.ClockReading{}, errOrderExpired)
 	}
 	runners := s.handler.Runners()
--- a/io/owner/delegate.go
+++ b/io/owner/delegate.go
@@ -74,7 +74,8 @@
 
 // carriedOrder is an order on its way through a delegate.
 type carriedOrder struct {
-	order *ownerpb.Order
+	order    *ownerpb.Order
+	queuedAt time.Time
 	// stage arbitrates between the sender and an owner that withdraws the order.
 	stage  atomic.Int32
 	result chan *ownerpb.Result
@@ -132,7 +133,7 @@
 func (d *Delegate) carry(ctx context.Context, wait time.Duration, order *ownerpb.Order) (*ownerpb.Result, pool.CallResult, error) {
 	order.Number = d.numbers.Add(1)
 	order.ValidNanoseconds = int64(orderValidity)
-	carried := &carriedOrder{order: order, result: make(chan *ownerpb.Result, 1)}
+	carried := &carriedOrder{order: order, queuedAt: time.Now(), result: make(chan *ownerpb.Result, 1)}
 	if !d.enqueue(carried) {
 		return nil, pool.NotSent, ErrDelegateUnavailable
 	}
@@ -239,14 +240,17 @@
 	}
 }
 
-// collect returns an order with those that are queued behind it, without the withdrawn
-// ones, and records them as sent.
+// collect returns an order with those that are queued behind it, without those that were
+// withdrawn or have expired, and records them as sent. An order expires in the queue if the
+// owner is paused; its claim on the pool may have expired as well.
 func (d *Delegate) collect(first *carriedOrder) []*ownerpb.Order {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var orders []*ownerpb.Order
 	for carried := first; ; {
-		if carried.stage.CompareAndSwap(orderQueued, orderSent) {
+		if heldSince(time.Now(), carried.queuedAt) > orderValidity {
+			carried.result <- nil
+		} else if carried.stage.CompareAndSwap(orderQueued, orderSent) {
 			d.pending[carried.order.Number] = carried
 			orders = append(orders, carried.order)
 		}
--- a/io/owner/delegate_test.go
+++ b/io/owner/delegate_test.go
@@ -185,6 +185,25 @@
 	}
 }
 
+// TestPausedOwnerPassesNothingOn guards against an owner that was paused and then passes
+// on what it had queued before.
+func TestPausedOwnerPassesNothingOn(t *testing.T) {
+	d := NewPeers(nil, slog.New(slog.DiscardHandler)).Delegate("a")
+	old := &carriedOrder{order: &ownerpb.Order{Number: 1}, queuedAt: time.Now().Add(-orderValidity - time.Millisecond), result: make(chan *ownerpb.Result, 1)}
+	fresh := &carriedOrder{order: &ownerpb.Order{Number: 2}, queuedAt: time.Now(), result: make(chan *ownerpb.Result, 1)}
+	d.queue <- fresh
+	var passedOn []uint64
+	for _, order := range d.collect(old) {
+		passedOn = append(passedOn, order.GetNumber())
+	}
+	if diff := cmp.Diff([]uint64{2}, passedOn); diff != "" {
+		t.Errorf("orders that are passed on (-want +got):\n%s", diff)
+	}
+	if result := <-old.result; result != nil || old.stage.Load() != orderQueued {
+		t.Errorf("the old order is not returned as not passed on")
+	}
+}
+
 // TestHoldTimeOfSuspendedMachine checks that a suspension counts, which only one of the
 // clocks may show.
 func TestHoldTimeOfSuspendedMachine(t *testing.T) {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -1,6 +1,7 @@
 // Package owner connects entries over gRPC: they call the owners of pools, release
-// shards to each other, report the age of the store's last response, and relay calls
-// to the platform's table service, which this package calls the store.
+// shards to each other, report the age of the store's last response, relay calls to the
+// platform's table service, which this package calls the store, and send orders to runners
+// as the delegates of an owner.
 //
 // A shard is a pool or the fleet. Its owner is the entry that holds the claim on it,
 // which is a lease in the store.
--- a/manager/delegates.go
+++ b/manager/delegates.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bronzestair/core/delegation"
+	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/io/owner"
 )
@@ -20,6 +21,8 @@
 type delegatedRunners struct {
 	Runners
 	delegate func(address string) owner.Runners
+	// valid reports whether this entry may give orders now.
+	valid func() bool
 
 	mu   sync.Mutex
 	plan delegation.Plan
@@ -38,17 +41,39 @@
 }
 
 // passOn passes an order on to the first delegate that accepts it, and calls the runner
-// directly if none does.
+// directly if none does. An attempt takes time, in which the claim on the pool may expire:
+// the order is then withheld.
 func passOn[T any](d *delegatedRunners, r pool.Runner, call func(owner.Runners) (T, error)) (T, error) {
 	for _, address := range d.delegates(r) {
 		result, err := call(d.delegate(address))
 		if !errors.Is(err, owner.ErrDelegateUnavailable) {
 			return result, err
 		}
+		if !d.valid() {
+			return call(withheldRunners{})
+		}
 	}
 	return call(d.Runners)
 }
 
+// withheldRunners sends nothing.
+type withheldRunners struct{}
+
+// Start implements owner.Runners.
+func (withheldRunners) Start(_ context.Context, e *pool.StartTask) (*pool.TaskStarted, error) {
+	return &pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: pool.Withheld}, nil
+}
+
+// Stop implements owner.Runners.
+func (withheldRunners) Stop(_ context.Context, e *pool.StopTask) (*pool.TaskStopped, error) {
+	return &pool.TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: pool.Withheld}, nil
+}
+
+// Poll implements owner.Runners.
+func (withheldRunners) Poll(_ context.Context, e *pool.PollRunner) (*pool.RunnerPolled, error) {
+	return &pool.RunnerPolled{Runner: e.Runner.ID, CallResult: pool.Withheld, Sent: time.Now()}, nil
+}
+
 // Start implements Runners.
 func (d *delegatedRunners) Start(ctx context.Context, e *pool.StartTask) (*pool.TaskStarted, error) {
 	return passOn(d, e.Runner, func(r owner.Runners) (*pool.TaskStarted, error) { return r.Start(ctx, e) })
@@ -80,9 +105,11 @@
 	}
 }
 
-func newDelegatedRunners(m *Manager) *delegatedRunners {
+func newDelegatedRunners(m *Manager, shard ownership.Shard) *delegatedRunners {
 	return &delegatedRunners{
-		Runners: m.runners, delegate: func(address string) owner.Runners { return m.peers.Delegate(address) },
+		Runners:  m.runners,
+		delegate: func(address string) owner.Runners { return m.peers.Delegate(address) },
+		valid:    func() bool { return m.ownershipValid(shard) },
 	}
 }
 
--- a/manager/delegates_test.go
+++ b/manager/delegates_test.go
@@ -33,19 +33,21 @@
 	for _, c := range []struct {
 		name          string
 		first, second error
+		expired       bool // the claim on the pool, during the first attempt
 		calls         int
 		result        pool.CallResult
 	}{
-		{"accepted", nil, nil, 1, pool.Done},
-		{"result lost", errLost, nil, 1, pool.Unknown},
-		{"first is not available", owner.ErrDelegateUnavailable, nil, 2, pool.Done},
-		{"result of the second lost", owner.ErrDelegateUnavailable, errLost, 2, pool.Unknown},
-		{"none is available", owner.ErrDelegateUnavailable, owner.ErrDelegateUnavailable, 3, pool.Done},
+		{"accepted", nil, nil, false, 1, pool.Done},
+		{"result lost", errLost, nil, false, 1, pool.Unknown},
+		{"first is not available", owner.ErrDelegateUnavailable, nil, false, 2, pool.Done},
+		{"result of the second lost", owner.ErrDelegateUnavailable, errLost, false, 2, pool.Unknown},
+		{"none is available", owner.ErrDelegateUnavailable, owner.ErrDelegateUnavailable, false, 3, pool.Done},
+		{"claim expired meanwhile", owner.ErrDelegateUnavailable, nil, true, 1, pool.Withheld},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var calls []string
 			results := []error{c.first, c.second}
-			d := &delegatedRunners{Runners: namedRunners{name: "direct", calls: &calls, call: pool.Done}}
+			d := &delegatedRunners{Runners: namedRunners{name: "direct", calls: &calls, call: pool.Done}, valid: func() bool { return !c.expired }}
 			d.delegate = func(address string) owner.Runners {
 				r := namedRunners{name: address, calls: &calls, call: pool.Done, err: results[len(calls)]}
 				if r.err != nil {
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -80,7 +80,7 @@
 		done:      make(chan struct{}),
 	}
 	o.writer = newWriter(m.store, o, m.logger)
-	o.runners = newDelegatedRunners(m)
+	o.runners = newDelegatedRunners(m, tenure.Shard)
 	o.capacity = m.options.Capacity
 	return o
 }
