Poll less often for ends that wait to be stored

Cause: a runner with ends that are not acknowledged answers each poll at once, and ends are acknowledged only once their progress is stored. Change: 0.2 s of pause after a poll without a new end, until the ends are stored (TestUnsavedEndsAreNotPolledFor); at most 3,000 polls a second.

--- a/core/pool/findings_test.go
+++ b/core/pool/findings_test.go
@@ -81,3 +81,34 @@
 	_, known := h.pool.State(jobID(1))
 	want(t, "job is known", known, false)
 }
+
+// TestUnsavedEndsAreNotPolledFor guards against an owner that polls a runner without pause
+// while the store is slow: a runner with ends that are not acknowledged answers at once.
+func TestUnsavedEndsAreNotPolledFor(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ends  []EndedTask
+		polls int // within unsavedPollInterval
+	}{
+		{"no new end", []EndedTask{{Number: 1, Task: taskID(1, 0, 0), Run: 1, Result: RunDone}}, 0},
+		{"new end", []EndedTask{
+			{Number: 1, Task: taskID(1, 0, 0), Run: 1, Result: RunDone}, {Number: 2, Task: taskID(1, 0, 1), Run: 1, Result: RunDone},
+		}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, Options{})
+			h.runners("r1")
+			h.answerPoll("r1", nil, nil)
+			step := singleTaskStep()
+			step.Count = 3
+			h.confirmStarts(h.storeJob(jobID(1), false, step))
+			h.advance(time.Second)
+			running := []RunningTask{{Task: taskID(1, 0, 2), Run: 1}}
+			h.answerPoll("r1", running, c.ends[:1])
+			h.advance(time.Second)
+			h.answerPoll("r1", running, c.ends)
+			polls := effectsOf[*PollRunner](h.advance(2 * minPollInterval))
+			want(t, "polls", len(polls), c.polls)
+		})
+	}
+}
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -16,6 +16,9 @@
 	// minPollInterval is the minimum pause between two polls of a runner, in which
 	// ends accumulate.
 	minPollInterval = 60 * time.Millisecond
+	// unsavedPollInterval is the pause after a poll that brought no new end while earlier
+	// ones wait to be stored. Until they are acknowledged, the runner answers at once.
+	unsavedPollInterval = 200 * time.Millisecond
 	// pollRetryDelay is the delay after an unanswered poll. It grows linearly with
 	// the number of failed calls.
 	pollRetryDelay = 250 * time.Millisecond
@@ -31,7 +34,7 @@
 // pollRunners emits the polls that are due.
 func (p *Pool) pollRunners(now time.Time) {
 	for _, r := range p.runnerOrder {
-		if r.polling || now.Before(r.nextPoll) {
+		if r.polling || now.Before(r.nextPoll) && !r.acknowledgmentDue(now) {
 			continue
 		}
 		if len(r.tasks) == 0 && !r.missingSince.IsZero() && now.Sub(r.missingSince) > missingPollTime {
@@ -49,6 +52,7 @@
 // runner.
 func (p *Pool) poll(now time.Time, r *runnerState, busy bool) {
 	r.polling = true
+	r.nextAcknowledgment = time.Time{}
 	effect := &PollRunner{Runner: r.Runner, Fence: p.options.Fence, Acknowledged: r.acknowledge(), FailedCalls: r.failedCalls}
 	if r.resolved && busy && r.failedCalls == 0 {
 		// The lease of a runner that does not answer is not extended: a call that is
@@ -100,7 +104,12 @@
 		r.resetIncarnation(e.Born)
 	}
 	r.fenced = true
+	lastEnd := r.handledEnd
 	handled := p.handleEnds(now, r, e.Ended)
+	if len(r.pendingEnds) > 0 && r.handledEnd == lastEnd {
+		r.nextAcknowledgment = r.nextPoll
+		r.nextPoll = now.Add(max(unsavedPollInterval, p.pollInterval()))
+	}
 	r.resolved = handled && (r.resolved || !e.Truncated)
 	listed := p.handleRunning(now, r, e)
 	p.retryUnknownStops(r, listed)
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -85,6 +85,9 @@
 	// polling is true while a poll awaits its answer.
 	polling  bool
 	nextPoll time.Time
+	// nextAcknowledgment is when the runner may be polled before nextPoll to acknowledge
+	// ends that were stored meanwhile, zero if it may not.
+	nextAcknowledgment time.Time
 	// failedCalls counts the unanswered calls since the last answer.
 	failedCalls int
 	lastAnswer  time.Time
@@ -234,6 +237,11 @@
 	return r.pendingEnds[0].saved()
 }
 
+// acknowledgmentDue reports whether the runner is to be polled to acknowledge ends.
+func (r *runnerState) acknowledgmentDue(now time.Time) bool {
+	return !r.nextAcknowledgment.IsZero() && !now.Before(r.nextAcknowledgment) && r.canAcknowledge()
+}
+
 // apply implements Event.
 func (e *RunnersListed) apply(p *Pool, now time.Time) {
 	p.listed = true
--- a/core/pool/scale.go
+++ b/core/pool/scale.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	// maxCallFactor limits the calls of an owner with delegates to a multiple of those
-	// of a full core, as the owner still decides on each and handles each result.
-	maxCallFactor = 2.5
+	// maxPollFactor and maxStartFactor limit the calls of an owner with delegates to
+	// multiples of those of a full core, as the owner still decides on each and handles
+	// each result.
+	maxPollFactor  = 1.5
+	maxStartFactor = 2.5
 	// pollLinkShare is the share of the link for polls. The rest is left to starts,
 	// the store and callers.
 	pollLinkShare = 0.5
@@ -34,8 +36,8 @@
 func (o Options) ScaledTo(capacity process.Capacity) Options {
 	polls, starts := float64(DefaultPollRate), float64(DefaultMaxStartsInFlight)
 	if capacity.CPUs > 0 {
-		polls *= min(capacity.CPUs, maxCallFactor)
-		starts *= min(capacity.CPUs, maxCallFactor)
+		polls *= min(capacity.CPUs, maxPollFactor)
+		starts *= min(capacity.CPUs, maxStartFactor)
 	}
 	if capacity.LinkRate > 0 {
 		polls = min(polls, pollLinkShare*capacity.LinkRate.MessagesPerSecond(pollBytes))
