--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -38,7 +38,7 @@
 }
 
 // ClockReading pairs a reading of a runner's clock with a local time that is not
-// after the reading.
+// before the reading, such as that at which the answer was received.
 type ClockReading struct {
 	Clock RunnerClock
 	At    time.Time
--- a/io/owner/delegate.go
+++ b/io/owner/delegate.go
@@ -26,7 +26,8 @@
 	// resultMargin is added to the time that an order takes at the delegate, for the way
 	// there and back.
 	resultMargin = 150 * time.Millisecond
-	// orderTimeout is the timeout of an order at the delegate.
+	// orderTimeout is the timeout of an order at the delegate, in addition to the time
+	// that the runner may hold back its answer.
 	orderTimeout = 500 * time.Millisecond
 	// maxQueuedOrders bounds the orders that wait for a delegate. A delegate that does
 	// not keep up fills the queue, and the owner sends further orders itself.
--- a/manager/members.go
+++ b/manager/members.go
@@ -17,19 +17,17 @@
 // with the empty name.
 const memberTable = "entries"
 
-const (
-	// maxMemberDelay spreads the first writes of entries that start at the same time:
-	// a part commits some 200 transactions a second.
-	maxMemberDelay = 2 * time.Second
-)
+// firstWriteSpread is the time over which entries that start together spread their first
+// writes: a part commits some 200 transactions a second.
+const firstWriteSpread = 2 * time.Second
 
 // maintainMembership writes this entry's row and reads those of the others until the
 // context ends.
 func (m *Manager) maintainMembership(ctx context.Context) {
 	self := membership.Member{Name: m.options.Name, Address: m.options.Address, DataCentre: m.options.DataCentre, Capacity: m.options.Capacity}
-	sleep(ctx, time.Duration(xxhash.Sum64String(self.Name)%uint64(maxMemberDelay)))
+	sleep(ctx, time.Duration(xxhash.Sum64String(self.Name)%uint64(firstWriteSpread)))
 	m.writeMember(ctx, self)
-	sleep(ctx, maxMemberDelay)
+	sleep(ctx, firstWriteSpread) // until the others have written theirs
 	var version table.Version
 	for ctx.Err() == nil {
 		version = m.readMembers(ctx, version)
