--- a/core/job/job.go
+++ b/core/job/job.go
@@ -210,6 +210,15 @@
 	return false
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s *Spec) Tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // Validate returns an error if the spec is invalid or exceeds the limits of a job.
 func (s *Spec) Validate() error {
 	switch {
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -16,7 +16,9 @@
 		if j.record.Spec.Repeat.Count == 0 || j.outcome != "" || !p.addDueOccurrences(now, j) {
 			continue
 		}
-		p.unblockSteps(now, j, j.occurrences[len(j.occurrences)-1])
+		for _, o := range j.occurrences {
+			p.unblockSteps(now, j, o)
+		}
 	}
 }
 
--- a/core/pool/edge_cases_test.go
+++ b/core/pool/edge_cases_test.go
@@ -112,3 +112,37 @@
 		})
 	}
 }
+
+// TestDueOccurrencesAreBounded guards against one job that takes the owner of its pool
+// down, and each owner after it: 100,000 occurrences of 10,000 tasks that are all due.
+func TestDueOccurrencesAreBounded(t *testing.T) {
+	h := newHarness(t, Options{})
+	step := singleTaskStep()
+	step.Count = job.MaxTasks / 4
+	h.send(&JobStored{Version: 11, Record: &job.Record{
+		Pool: testPool, Queue: testQueue, ID: jobID(1), Accepted: h.now,
+		Spec: job.Spec{Steps: []job.Step{step}, Repeat: job.Repeat{Count: 1000, Start: h.now.Add(-time.Hour)}},
+	}})
+	h.advance(time.Second)
+	j := h.pool.jobs[jobID(1)]
+	want(t, "occurrences in memory", len(j.occurrences), 4)
+	for i := range step.Count {
+		h.pool.markDone(h.now, &j.occurrences[0].steps[0].tasks[i])
+	}
+	h.advance(time.Second)
+	want(t, "occurrences in memory after one has completed", len(j.occurrences), 4)
+	want(t, "finished occurrences", j.finishedOccurrences, 1)
+}
+
+// TestAllDueOccurrencesStart guards against occurrences that never start because they
+// became due between the same two ticks as a later one, as after a pause of the owner.
+func TestAllDueOccurrencesStart(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.runners("r1")
+	h.answerPoll("r1", nil, nil)
+	h.send(&JobStored{Version: 11, Record: &job.Record{
+		Pool: testPool, Queue: testQueue, ID: jobID(1), Accepted: h.now,
+		Spec: job.Spec{Steps: []job.Step{singleTaskStep()}, Repeat: job.Repeat{Count: 3, Start: h.now.Add(time.Second), Interval: 10 * time.Millisecond}},
+	}})
+	want(t, "starts", len(effectsOf[*StartTask](h.advance(2*time.Second))), 3)
+}
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -200,12 +200,14 @@
 }
 
 // addDueOccurrences adds the occurrences that are due and reports whether there are any.
+// Occurrences that would exceed job.MaxTasks tasks in memory wait until others are done.
 func (p *Pool) addDueOccurrences(now time.Time, j *jobState) bool {
 	added := false
 	spec := &j.record.Spec
+	limit := max(1, job.MaxTasks/max(1, spec.Tasks()))
 	for n := j.finishedOccurrences + len(j.occurrences); n < spec.Occurrences(); n++ {
 		due := spec.Due(n)
-		if due.After(now) {
+		if due.After(now) || len(j.occurrences) >= limit {
 			break
 		}
 		j.occurrences = append(j.occurrences, newOccurrence(j, n, due))
