--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -4,9 +4,9 @@
 	"net/http"
 )
 
-// cloud is a stand-in for the platform's list of machines. The installations of the
-// cases have one pool, so that there is no pool to move a machine to, and no waves:
-// orders get the answer that the machine is busy.
+// cloud is a stand-in for the platform's list of machines. The cases have no waves, and
+// no pool with machines to spare: orders get the answer that the machine is busy, and
+// are recorded.
 type cloud struct {
 	runners []*runner
 	ledger  *ledger
--- a/review/standin/installation.go
+++ b/review/standin/installation.go
@@ -74,21 +74,31 @@
 	}
 }
 
-const serviceName = "booking"
+const (
+	serviceName      = "booking"
+	otherServiceName = "lodging"
+	// otherRunners is the number of runners of the other service. The system keeps so
+	// many in each pool, so that no machine is moved.
+	otherRunners = 4
+)
 
 // writeConfig writes a config as the operator does.
 func (i *installation) writeConfig(version int, routes ...route) {
+	services := []map[string]any{}
+	for _, name := range []string{serviceName, otherServiceName} {
+		services = append(services, map[string]any{
+			"name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false,
+			"enforces_capacity": true, "spare": false,
+		})
+	}
 	i.store.put("op", "config", map[string]any{
 		"version": version, "routes": routes,
-		"services": []map[string]any{{
-			"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false,
-			"enforces_capacity": true, "spare": false,
-		}},
-		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"services": services,
+		"limits":   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	names := []string{}
 	for _, r := range routes {
-		names = append(names, fmt.Sprintf("%s (max_attempts %d)", r.PathPrefix, r.MaxAttempts))
+		names = append(names, fmt.Sprintf("%s (service %s, max_attempts %d)", r.PathPrefix, r.Service, r.MaxAttempts))
 	}
 	i.ledger.note("the operator writes config %d, routes %s; acknowledged", version, strings.Join(names, ", "))
 }
@@ -100,8 +110,12 @@
 		return nil, err
 	}
 	i := &installation{ledger: l, store: newStore(), folder: folder, client: &http.Client{Timeout: 4 * time.Second}}
-	for n := range runners {
-		r := newRunner(fmt.Sprintf("i-%08x", 0x10a00000+n*0x1111), serviceName, zones[n%len(zones)], fmt.Sprintf("r1-%d", n/4), i.store, l)
+	for n := range runners + otherRunners {
+		service := serviceName
+		if n >= runners {
+			service = otherServiceName
+		}
+		r := newRunner(fmt.Sprintf("i-%08x", 0x10a00000+n*0x1111), service, zones[n%len(zones)], fmt.Sprintf("r1-%d", n/4), i.store, l)
 		i.runners = append(i.runners, r)
 		if err := r.start(); err != nil {
 			return i, err
@@ -263,7 +277,10 @@
 			return err
 		}
 	}
-	return waitUntil("owner of the pool", 15*time.Second, func() bool { return i.store.holders()["pool/"+serviceName] != "" })
+	return waitUntil("owners of the pools", 15*time.Second, func() bool {
+		holders := i.store.holders()
+		return holders["pool/"+serviceName] != "" && holders["pool/"+otherServiceName] != ""
+	})
 }
 
 // isReady reports whether an entry's readiness check answers 200.
