--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -317,9 +317,10 @@
 }
 
 func (r *runner) hold(request *http.Request, o order) (int, map[string]any) {
+	lapsed := r.clock() >= r.until
 	for _, e := range r.ended {
 		if e.n <= o.AckCursor {
-			r.ledger.acknowledged(r, e, o.AckCursor)
+			r.ledger.acknowledged(r, e, o.AckCursor, lapsed)
 		}
 	}
 	r.ended = slices.DeleteFunc(r.ended, func(e end) bool { return e.n <= o.AckCursor })
