Bind what a runner says to its incarnation

Cause: the owner knew a runner by its id. Only the answer to a poll reset what the earlier incarnation had said, so a poll acknowledged ends of the new one by the numbers of the old one. The same held for news by a registration, an answer to a start or a stop, or through a delegate, and for leases, clocks, unanswered starts, tickets, health and the notification that a runner has ended.

Ruled out: stored progress that lagged (the ends were never read), a change of owner (none), a repeated order (each run number was started once).

--- a/core/maintenance/edge_cases_test.go
+++ b/core/maintenance/edge_cases_test.go
@@ -123,3 +123,33 @@
 	f.list()
 	want(t, "cordoned once the runner is known to have ended", cordoned(), []pool.RunnerID(nil))
 }
+
+// TestEndOfARunnerNamesItsIncarnation guards against a pool owner that takes the end of an
+// incarnation for that of the next one, which has started under the same id meanwhile.
+func TestEndOfARunnerNamesItsIncarnation(t *testing.T) {
+	born := time.Unix(7, 0)
+	up := Instance{ID: "m1", Pool: "booking", State: Up, Runner: "r1", Born: born}
+	down, replaced := up, up
+	down.State, down.Born = Down, born.Add(time.Second)
+	replaced.Runner = "r2"
+	for title, c := range map[string]struct {
+		next Instance
+		want time.Time
+	}{
+		"the instance is down":          {down, born},
+		"the instance has a new runner": {replaced, time.Time{}},
+	} {
+		t.Run(title, func(t *testing.T) {
+			p := New(Options{})
+			now := time.Unix(1_000_000, 0)
+			p.Reduce(now, &InstancesListed{Instances: []Instance{up}, RequestedAt: now})
+			for _, effect := range p.Reduce(now, &InstancesListed{Instances: []Instance{c.next}, RequestedAt: now}) {
+				if e, ok := effect.(*NotifyRunnerEnded); ok {
+					want(t, "notification", *e, NotifyRunnerEnded{Pool: "booking", Runner: "r1", Born: c.want})
+					return
+				}
+			}
+			t.Error("the end of r1 is not notified")
+		})
+	}
+}
--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -271,6 +271,9 @@
 type NotifyRunnerEnded struct {
 	Pool   job.PoolName
 	Runner pool.RunnerID
+	// Born is the start time of the incarnation that has ended, if the runner may start
+	// again under its ID.
+	Born time.Time
 }
 
 // SaveWave persists the progress of a wave.
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -105,7 +105,11 @@
 		return
 	}
 	p.emit(&LogDecision{Instance: current.ID, Runner: previous.Runner, Decision: "runnerGone", Reason: string(current.State)})
-	p.emit(&NotifyRunnerEnded{Pool: previous.Pool, Runner: previous.Runner})
+	notification := &NotifyRunnerEnded{Pool: previous.Pool, Runner: previous.Runner}
+	if previous.Runner == current.Runner {
+		notification.Born = previous.Born
+	}
+	p.emit(notification)
 }
 
 // updateOrders tracks accepted orders to their end. Acceptance alone does not show
--- a/core/pool/disruption_matrix_test.go
+++ b/core/pool/disruption_matrix_test.go
@@ -41,6 +41,16 @@
 			sim.after(at-sim.randomUpTo(2*time.Second), func() { sim.storeDownUntil = sim.now.Add(sim.randomBetween(2*time.Second, 6*time.Second)) })
 		}
 	}},
+	{"restarted", func(sim *simulation) {
+		for range 6 {
+			r := sim.runners[sim.random.IntN(len(sim.runners))]
+			sim.after(sim.randomBetween(time.Second, 16*time.Second), func() {
+				if !r.dead {
+					r.restart(sim.randomUpTo(3*time.Second), sim.randomUpTo(1500*time.Millisecond))
+				}
+			})
+		}
+	}},
 	{"truncated lists", func(sim *simulation) { sim.maxListedEnds = 4 }},
 	{"slow load", func(sim *simulation) { sim.loadDelay = sim.randomBetween(100*time.Millisecond, 400*time.Millisecond) }},
 }
--- a/core/pool/duplicate.go
+++ b/core/pool/duplicate.go
@@ -85,7 +85,7 @@
 	if outage := now.Sub(r.unreachableSince); !r.unreachableSince.IsZero() && outage >= minReportedOutage {
 		p.emit(&RunnerReconnected{
 			Runner: r.ID, UnreachableFor: outage, SinceLastList: r.sinceLastList(now), Clock: e.Clock.Clock,
-			Running: len(e.Running), Ended: len(e.Ended), Acknowledged: r.ackedEnd,
+			Running: len(e.Running), Ended: len(e.Ended), Acknowledged: r.storedEnd,
 		})
 	}
 	r.unreachableSince = time.Time{}
--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -75,6 +75,9 @@
 // RunnerEnded reports that an incarnation of a runner has certainly terminated.
 type RunnerEnded struct {
 	Runner RunnerID
+	// Born is the start time of the incarnation. Zero stands for all incarnations under
+	// the ID so far.
+	Born time.Time
 }
 
 // RunnersCordoned replaces the set of cordoned runners. They get no new tasks and are
@@ -135,7 +138,10 @@
 	Task       job.TaskID
 	Run        int
 	CallResult CallResult
-	Clock      ClockReading
+	// Sent, Clock and Born are as in RunnerPolled.
+	Sent  time.Time
+	Clock ClockReading
+	Born  time.Time
 	// Took is the duration of the call itself, without the time that its result
 	// waited for the owner.
 	Took time.Duration
@@ -147,7 +153,10 @@
 	Task       job.TaskID
 	Run        int
 	CallResult CallResult
-	Clock      ClockReading
+	// Sent, Clock and Born are as in RunnerPolled.
+	Sent  time.Time
+	Clock ClockReading
+	Born  time.Time
 }
 
 // RunnerPolled answers PollRunner.
@@ -157,7 +166,8 @@
 	// Sent is when the call was sent, like RequestedAt of IncarnationsListed.
 	Sent  time.Time
 	Clock ClockReading
-	// Born is the start time of the runner's current incarnation, see RunnerID.
+	// Born is the start time of the incarnation that answered, see RunnerID. It is zero if
+	// the answer does not state it.
 	Born    time.Time
 	Running []RunningTask
 	Ended   []EndedTask
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -50,7 +50,11 @@
 	orderUnanswered bool      // a start order of this run had no answer
 	// unresolved is true if the lease of this run has ended and the runner has not
 	// reported how the run ended.
-	unresolved      bool
+	unresolved bool
+	// listed is true once the runner's current incarnation has listed this run.
+	// startedBeforeRestart is true if the run was ordered from a previous incarnation.
+	listed, startedBeforeRestart bool
+
 	confirmedAt     time.Time // when the runner confirmed that this run has started
 	startVoidAfter  time.Time // when an unconfirmed start can no longer take effect
 	stoppedAt       time.Time // when a stop was confirmed
@@ -268,6 +272,7 @@
 		t.runner.release(t)
 	}
 	t.orderCount, t.inFlight, t.orderUnanswered, t.unresolved = 0, false, false, false
+	t.listed, t.startedBeforeRestart = false, false
 	t.confirmedAt, t.stoppedAt, t.startVoidAfter = time.Time{}, time.Time{}, time.Time{}
 	t.progressPercent, t.tailLatency, t.throttle = 0, 0, 0
 	p.dispatchNeeded = true
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -28,7 +28,7 @@
 	p.emit(&StartTask{
 		Runner: r.Runner, Task: t.id, Run: t.run, Payload: t.job.record.Spec.Payload,
 		Checkpoint: t.checkpoint, Ticket: p.ticket(t.id.StepKey(), r.ID, now),
-		Until: r.grantLease(now, validity), Fence: p.options.Fence,
+		Until: p.grantLease(now, r, validity), Fence: p.options.Fence,
 	})
 }
 
@@ -65,37 +65,40 @@
 	if r == nil {
 		return
 	}
-	p.recordCall(now, r, e.CallResult, e.Clock)
+	result := p.recordCall(now, r, answer{result: e.CallResult, sent: e.Sent, clock: e.Clock, born: e.Born})
+	if result == Unknown {
+		r.recordUnansweredStart(now, e.Task, e.Run)
+	}
 	t := r.tasks[e.Task]
 	if t == nil || t.run != e.Run || !t.inFlight {
 		return
 	}
 	t.inFlight = false
 	p.startWindow.observe(e.Took, p.options.MaxStartsInFlight)
-	t.orderUnanswered = t.orderUnanswered || e.CallResult == Unknown
+	t.orderUnanswered = t.orderUnanswered || result == Unknown
 	switch {
 	case t.state == running || t.state == done:
 		// A poll of the runner has already reported a later state.
-	case t.state == stopping && (e.CallResult == Done || t.orderUnanswered):
+	case t.state == stopping && (result == Done || t.orderUnanswered):
 		p.sendStop(now, t, "a stop was requested before the start was answered")
 	case t.state == stopping:
 		p.unassign(now, t)
-	case e.CallResult == Done:
+	case result == Done:
 		t.state = running
 		t.confirmedAt, t.progressAt = now, now
 		t.job.started = true
 		if next := now.Add(p.pollInterval()); r.nextPoll.After(next) {
 			r.nextPoll = next // the runner answers again, so the delay after failed polls ends
 		}
-	case e.CallResult == Unknown && t.orderCount < maxStartOrders && r.missingSince.IsZero():
+	case result == Unknown && t.orderCount < maxStartOrders && r.missingSince.IsZero() && r.resolved:
 		p.sendStart(now, t)
-	case t.orderUnanswered || e.CallResult == RefusedStaleRun:
+	case t.orderUnanswered || result == RefusedStaleRun:
 		// A start of this run may have been carried out. The run must be stopped before
 		// the task is placed again.
 		t.state = stopping
 		p.sendStop(now, t, "start has no answer")
 	default:
-		p.handleRefusedStart(now, r, t, e.CallResult)
+		p.handleRefusedStart(now, r, t, result)
 	}
 }
 
@@ -121,7 +124,7 @@
 	if r == nil {
 		return
 	}
-	p.recordCall(now, r, e.CallResult, e.Clock)
+	result := p.recordCall(now, r, answer{result: e.CallResult, sent: e.Sent, clock: e.Clock, born: e.Born})
 	if _, ok := r.unknownRuns[e.Task]; ok {
 		r.nextPoll = now
 		return
@@ -131,33 +134,13 @@
 		return
 	}
 	t.inFlight = false
-	if e.CallResult == Done {
+	// Before the news of a restart, the previous incarnation may have carried out the stop.
+	if result == Done && !e.Sent.Before(r.incarnationSince) {
 		t.stoppedAt = now
 		r.nextPoll = now
 	}
 }
 
-// recordCall updates a runner's reachability and clock from the result of a call.
-func (p *Pool) recordCall(now time.Time, r *runnerState, result CallResult, clock ClockReading) {
-	if result == Withheld {
-		return
-	}
-	if result == Unknown || result == NotSent {
-		r.failedCalls++
-		if r.unreachableSince.IsZero() {
-			r.unreachableSince = now
-		}
-		return
-	}
-	if result == RefusedFence {
-		p.stepDown("runner " + string(r.ID) + " has seen a higher fencing token")
-		return
-	}
-	r.failedCalls = 0
-	r.lastAnswer = now
-	r.updateClock(clock)
-}
-
 // unassign takes a task off its runner after the run has ended or was never started.
 func (p *Pool) unassign(now time.Time, t *task) {
 	r := t.runner
@@ -208,7 +191,7 @@
 // Other tasks may have completed before that: they stay assigned until the runner
 // reports their ends or its incarnation has terminated.
 func (p *Pool) expireLease(now time.Time, r *runnerState) {
-	p.unassignLost(now, r, "leaseExpired", func(t *task) bool { return t.step.spec.Persistent })
+	p.unassignLost(now, r, "leaseExpired", func(t *task) bool { return t.step.spec.Persistent && !t.mayStartLate() })
 	for _, t := range r.tasksByID {
 		if t.unresolved {
 			continue
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -53,11 +53,12 @@
 func (p *Pool) poll(now time.Time, r *runnerState, busy bool) {
 	r.polling = true
 	r.nextAcknowledgment = time.Time{}
-	effect := &PollRunner{Runner: r.Runner, Fence: p.options.Fence, Acknowledged: r.acknowledge(), FailedCalls: r.failedCalls}
+	r.polledAck = r.acknowledge()
+	effect := &PollRunner{Runner: r.Runner, Fence: p.options.Fence, Acknowledged: r.polledAck, FailedCalls: r.failedCalls}
 	if r.resolved && busy && r.failedCalls == 0 {
 		// The lease of a runner that does not answer is not extended: a call that is
 		// carried out late would postpone the time at which its tasks count as lost.
-		effect.Until = r.grantLease(now, p.options.Lease)
+		effect.Until = p.grantLease(now, r, p.options.Lease)
 		effect.Wait = pollWait
 	}
 	p.emit(effect)
@@ -85,8 +86,10 @@
 	}
 	r.polling = false
 	r.nextPoll = now.Add(p.pollInterval())
-	p.recordCall(now, r, e.CallResult, e.Clock)
-	switch e.CallResult {
+	acknowledged := r.polledAck
+	since := r.incarnationSince
+	result := p.recordCall(now, r, answer{result: e.CallResult, sent: e.Sent, clock: e.Clock, born: e.Born})
+	switch result {
 	case Done:
 	case Withheld:
 		return
@@ -94,14 +97,18 @@
 		r.nextPoll = now.Add(pollRetryDelay * time.Duration(min(r.failedCalls, maxPollRetryFactor)))
 		return
 	case RefusedOtherIncarnation:
-		(&RunnerEnded{Runner: r.ID}).apply(p, now)
+		if e.CallResult == RefusedOtherIncarnation {
+			(&RunnerEnded{Runner: r.ID, Born: r.born}).apply(p, now)
+			return
+		}
+		r.nextPoll = now
 		return
 	default:
 		r.nextPoll = now.Add(pollRefusedDelay)
 		return
 	}
-	if !e.Born.IsZero() && !e.Born.Equal(r.born) {
-		r.resetIncarnation(e.Born)
+	if r.incarnationSince.Equal(since) {
+		r.ackedEnd = max(r.ackedEnd, acknowledged)
 	}
 	r.fenced = true
 	lastEnd := r.handledEnd
@@ -115,6 +122,7 @@
 	p.retryUnknownStops(r, listed)
 	if handled && !e.Truncated {
 		p.handleUnlisted(now, r, e, listed)
+		p.stopLateStarts(now, r, listed)
 	}
 	if r.resolved {
 		p.takeover.markResolved(r.ID)
@@ -124,15 +132,6 @@
 	p.dispatchNeeded = true
 }
 
-// resetIncarnation resets the tracking of ends for a new incarnation of the runner.
-// Tasks that the new incarnation does not list are released by handleUnlisted.
-func (r *runnerState) resetIncarnation(born time.Time) {
-	r.born = born
-	r.pendingEnds = nil
-	r.handledEnd, r.ackedEnd = 0, 0
-	clear(r.unknownRuns)
-}
-
 // handleEnds handles the new ends that a runner lists. It reports whether all could
 // be handled: while jobs are loading, the job of an end may not be known yet.
 func (p *Pool) handleEnds(now time.Time, r *runnerState, ends []EndedTask) bool {
@@ -273,6 +272,7 @@
 			p.stopUnknownRun(r, listedRun)
 			continue
 		}
+		t.listed = true
 		if t.state == starting {
 			t.state = running
 			t.confirmedAt, t.progressAt = now, now
@@ -316,7 +316,8 @@
 	t.confirmedAt, t.progressAt = now, now
 	j.started = true
 	r.assign(t)
-	r.grantLease(now, p.options.Lease)
+	// The previous owner may have granted the lease for the clock of an earlier incarnation.
+	r.leaseEnds = later(r.leaseEnds, now.Add(leaseBound(p.options.MaxLease)))
 	p.emit(&LogDecision{Job: j.id(), Task: t.id, Runner: r.ID, Run: listedRun.Run, Decision: "taskAdopted", Reason: "the runner lists it as running"})
 	return t
 }
@@ -343,6 +344,8 @@
 			return false
 		}
 		switch {
+		case t.mayStartLate():
+			return !t.stoppedAt.IsZero() && t.stoppedAt.Before(e.Sent)
 		case !t.confirmedAt.IsZero() && t.confirmedAt.Before(e.Sent):
 			return true
 		case !t.stoppedAt.IsZero() && t.stoppedAt.Before(e.Sent):
@@ -354,6 +357,15 @@
 	})
 }
 
+// stopLateStarts stops the unlisted tasks that a late start may still bring to the runner.
+func (p *Pool) stopLateStarts(now time.Time, r *runnerState, listed map[job.TaskID]bool) {
+	for _, t := range r.sortedTasks() {
+		if t.mayStartLate() && !listed[t.id] {
+			p.stopTask(now, t, "its start may reach the runner after the restart")
+		}
+	}
+}
+
 // retryUnknownStops repeats the stop of each unknown run until the runner no longer
 // lists it.
 func (p *Pool) retryUnknownStops(r *runnerState, listed map[job.TaskID]bool) {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -47,6 +47,9 @@
 	Loading bool
 	// Lease is how long tasks on a runner continue without contact to the owner.
 	Lease time.Duration
+	// MaxLease is the longest lease that a runner accepts. A lease lasts that long if its
+	// expiry was computed for the clock of a previous incarnation of the runner.
+	MaxLease time.Duration
 	// StartValidity is how long a start order is valid.
 	StartValidity time.Duration
 	// PollRate limits the polls of runners per second.
@@ -59,6 +62,8 @@
 const (
 	// DefaultLease outlasts a change of owner, which takes about 3 s.
 	DefaultLease = 5 * time.Second
+	// DefaultMaxLease is the highest limit that runners are known to have.
+	DefaultMaxLease = 10 * time.Second
 	// DefaultStartValidity bounds how long a lost start order blocks its task.
 	DefaultStartValidity = 2 * time.Second
 	// DefaultPollRate is what an owner with a full core can spare for polls, which
@@ -72,6 +77,8 @@
 
 func (o *Options) setDefaults() {
 	setDefault(&o.Lease, DefaultLease)
+	setDefault(&o.MaxLease, DefaultMaxLease)
+	o.MaxLease = max(o.MaxLease, o.Lease)
 	setDefault(&o.StartValidity, DefaultStartValidity)
 	if o.PollRate <= 0 {
 		o.PollRate = DefaultPollRate
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -95,7 +95,7 @@
 func (h *harness) confirmStarts(effects []Effect) []Effect {
 	var out []Effect
 	for _, s := range effectsOf[*StartTask](effects) {
-		out = append(out, h.send(&TaskStarted{Runner: s.Runner.ID, Task: s.Task, Run: s.Run, CallResult: Done})...)
+		out = append(out, h.send(&TaskStarted{Runner: s.Runner.ID, Task: s.Task, Run: s.Run, CallResult: Done, Sent: h.now})...)
 	}
 	return out
 }
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -62,13 +62,22 @@
 	// fenced is true once the runner has seen this owner's fencing token, so that a
 	// previous owner can no longer acknowledge ends there.
 	fenced bool
-	// born is the start time of the incarnation that answered the last poll.
-	born  time.Time
-	clock ClockReading
+	// born is the start time of the current incarnation, zero if not known. All that
+	// the runner says of itself and its runs holds for this incarnation only.
+	born time.Time
+	// incarnationSince is when the owner learnt of the current incarnation, zero if it
+	// knows of no earlier one.
+	incarnationSince time.Time
+	clock            ClockReading
 	// leaseEnds is when every task on the runner has certainly ended if the lease is
-	// not extended.
-	leaseEnds time.Time
-	tasks     map[job.TaskID]*task
+	// not extended and the clock reading is of the current incarnation. uncertainLease
+	// bounds the leases for which the latter is not known.
+	leaseEnds      time.Time
+	uncertainLease uncertainLease
+	// unansweredStarts holds the starts whose answer was lost, which may be carried out
+	// late.
+	unansweredStarts map[job.TaskID]unansweredStart
+	tasks            map[job.TaskID]*task
 	// tasksByID holds the tasks sorted by id. batchTasks counts the tasks that are not
 	// persistent, bestEffortTasks the best-effort ones.
 	tasksByID                   []*task
@@ -78,13 +87,16 @@
 	// are being stopped.
 	unknownRuns map[job.TaskID]int
 	pendingEnds []pendingEnd
-	// handledEnd is the number of the last handled end, ackedEnd that of the last
-	// acknowledged one.
-	handledEnd, ackedEnd int64
-
-	// polling is true while a poll awaits its answer.
-	polling  bool
-	nextPoll time.Time
+	// handledEnd is the number of the last handled end, storedEnd that of the last one
+	// that may be acknowledged, and ackedEnd that of the last one whose acknowledgment
+	// was answered.
+	handledEnd, storedEnd, ackedEnd int64
+
+	// polling is true while a poll awaits its answer, polledAck is the number that it
+	// acknowledges.
+	polling   bool
+	polledAck int64
+	nextPoll  time.Time
 	// nextAcknowledgment is when the runner may be polled before nextPoll to acknowledge
 	// ends that were stored meanwhile, zero if it may not.
 	nextAcknowledgment time.Time
@@ -104,7 +116,10 @@
 }
 
 func newRunnerState(r Runner) *runnerState {
-	return &runnerState{Runner: r, tasks: map[job.TaskID]*task{}, unknownRuns: map[job.TaskID]int{}}
+	return &runnerState{
+		Runner: r, born: r.Born, tasks: map[job.TaskID]*task{}, unknownRuns: map[job.TaskID]int{},
+		unansweredStarts: map[job.TaskID]unansweredStart{},
+	}
 }
 
 // clockAt returns a lower bound on the runner's clock at a local time.
@@ -112,15 +127,6 @@
 	return r.clock.Clock + RunnerClock(float64(now.Sub(r.clock.At))*(1-clockDrift))
 }
 
-// grantLease extends leaseEnds for a new lease and returns the end of the lease on
-// the runner's clock.
-func (r *runnerState) grantLease(now time.Time, lease time.Duration) RunnerClock {
-	if ends := now.Add(leaseBound(lease)); ends.After(r.leaseEnds) {
-		r.leaseEnds = ends
-	}
-	return r.clockAt(now) + RunnerClock(lease)
-}
-
 func (r *runnerState) updateClock(c ClockReading) {
 	if c.Clock > 0 {
 		r.clock = c
@@ -214,7 +220,9 @@
 }
 
 // acknowledge drops the pending ends whose changes are stored, up to the first that
-// is not, and returns the number of the last end that may be acknowledged.
+// is not, and returns the number of the last end to acknowledge with the next poll, 0 for
+// none. A number is only repeated after the runner has answered again: by its Born, the
+// answer shows that the number is not one of a previous incarnation.
 func (r *runnerState) acknowledge() int64 {
 	n := 0
 	for i := range r.pendingEnds {
@@ -222,19 +230,19 @@
 		if !e.saved() {
 			break
 		}
-		r.ackedEnd = e.number
+		r.storedEnd = e.number
 		n++
 	}
 	r.pendingEnds = r.pendingEnds[n:]
-	return r.ackedEnd
+	if !r.fenced || r.failedCalls > 0 || r.storedEnd <= r.ackedEnd {
+		return 0
+	}
+	return r.storedEnd
 }
 
-// canAcknowledge reports whether a pending end may be acknowledged.
+// canAcknowledge reports whether an end may be acknowledged.
 func (r *runnerState) canAcknowledge() bool {
-	if len(r.pendingEnds) == 0 {
-		return false
-	}
-	return r.pendingEnds[0].saved()
+	return r.storedEnd > r.ackedEnd || len(r.pendingEnds) > 0 && r.pendingEnds[0].saved()
 }
 
 // acknowledgmentDue reports whether the runner is to be polled to acknowledge ends.
@@ -260,78 +268,12 @@
 		if r.missingSince.IsZero() {
 			r.missingSince = now
 		}
-		if len(r.tasks) == 0 && len(r.unknownRuns) == 0 && !r.polling && now.After(r.leaseEnds) {
+		if len(r.tasks) == 0 && len(r.unknownRuns) == 0 && !r.polling && r.leaseExpired(now) {
 			p.dropRunner(id)
 		}
 	}
 }
 
-// endedRunnerRetention is how long the registration of an ended runner is ignored. A
-// registration normally expires after three heartbeats without a report, about 5 s.
-const endedRunnerRetention = 10 * time.Second
-
-// endedRunner is an incarnation that has terminated.
-type endedRunner struct {
-	born, endedAt time.Time
-}
-
-// hasEnded reports whether a registration is that of an incarnation that has terminated.
-func (p *Pool) hasEnded(now time.Time, listed *Runner) bool {
-	ended, ok := p.endedRunners[listed.ID]
-	if !ok {
-		return false
-	}
-	if now.Sub(ended.endedAt) > endedRunnerRetention || listed.Born.After(ended.born) {
-		delete(p.endedRunners, listed.ID)
-		return false
-	}
-	return true
-}
-
-// recordEnded remembers that a runner has terminated and drops what is older than the
-// retention.
-func (p *Pool) recordEnded(now time.Time, r *runnerState) {
-	for id, ended := range p.endedRunners {
-		if now.Sub(ended.endedAt) > endedRunnerRetention {
-			delete(p.endedRunners, id)
-		}
-	}
-	born := r.Born
-	if r.born.After(born) {
-		born = r.born
-	}
-	p.endedRunners[r.ID] = endedRunner{born: born, endedAt: now}
-}
-
-func (p *Pool) updateRunner(now time.Time, listed Runner) {
-	r := p.runners[listed.ID]
-	if r == nil && p.hasEnded(now, &listed) {
-		return
-	}
-	if r == nil {
-		r = newRunnerState(listed)
-		r.firstListed = now
-		p.addRunner(r)
-		p.awaitRunner(now, r.ID)
-		return
-	}
-	r.Runner = listed
-	r.missingSince = time.Time{}
-}
-
-// apply implements Event.
-func (e *RunnerEnded) apply(p *Pool, now time.Time) {
-	p.takeover.markResolved(e.Runner)
-	r := p.runners[e.Runner]
-	if r == nil {
-		return
-	}
-	p.unassignLost(now, r, "runnerEnded", func(*task) bool { return true })
-	clear(r.unknownRuns)
-	p.recordEnded(now, r)
-	p.dropRunner(e.Runner)
-}
-
 // apply implements Event.
 func (e *RunnersCordoned) apply(p *Pool, _ time.Time) {
 	for _, r := range p.runnerOrder {
@@ -349,10 +291,10 @@
 	p.dispatchNeeded = true
 	for _, r := range p.runnerOrder {
 		id := r.ID
-		if len(r.tasks) > 0 && now.After(r.leaseEnds) {
+		if len(r.tasks) > 0 && r.leaseExpired(now) {
 			p.expireLease(now, r)
 		}
-		if len(r.tasks) == 0 && now.After(r.leaseEnds) && !r.missingSince.IsZero() && !r.polling {
+		if len(r.tasks) == 0 && r.leaseExpired(now) && !r.missingSince.IsZero() && !r.polling {
 			p.dropRunner(id)
 		}
 	}
--- a/core/pool/simulation_owner_test.go
+++ b/core/pool/simulation_owner_test.go
@@ -80,7 +80,7 @@
 	for _, r := range sim.runners {
 		if r.registered() {
 			event.Runners = append(event.Runners, Runner{
-				ID: r.id, Capacity: job.Resources{CPU: sim.runnerCPU, Memory: 65536}, Labels: []string{"a", "rack"},
+				ID: r.id, Born: r.registeredBorn, Capacity: job.Resources{CPU: sim.runnerCPU, Memory: 65536}, Labels: []string{"a", "rack"},
 			})
 		}
 	}
--- a/core/pool/simulation_runner_test.go
+++ b/core/pool/simulation_runner_test.go
@@ -16,6 +16,9 @@
 	dead       bool
 	born       time.Time
 	diedAt     time.Time
+	// registeredBorn is the start time in the runner's registration, which follows born
+	// with a delay.
+	registeredBorn time.Time
 	// disconnectedUntil is when calls arrive again, unregisteredUntil when the runner
 	// is registered again.
 	disconnectedUntil, unregisteredUntil time.Time
@@ -42,6 +45,27 @@
 
 func (r *modelRunner) clock() RunnerClock { return RunnerClock(r.simulation.now.Sub(r.born)) + 1 }
 
+// incarnation names the current incarnation in the run record.
+func (r *modelRunner) incarnation() RunnerID {
+	return r.id + RunnerID(r.born.Format("@15:04:05.000000"))
+}
+
+// restart ends the runner's incarnation and begins another one under the same id after
+// the given time, which is registered registrationDelay later.
+func (r *modelRunner) restart(downtime, registrationDelay time.Duration) {
+	sim := r.simulation
+	r.dead, r.diedAt = true, sim.now
+	clear(r.running)
+	sim.after(downtime, func() {
+		r.dead, r.born, r.fence, r.leaseEnds = false, sim.now, 0, time.Time{}
+		r.staleRuns, r.ended, r.lastEndNumber = map[job.TaskID]int{}, nil, 0
+		sim.after(registrationDelay, func() {
+			r.registeredBorn = r.born
+			sim.listRunners()
+		})
+	})
+}
+
 func (r *modelRunner) start(e *StartTask) CallResult {
 	if r.dead {
 		return Unknown
@@ -67,6 +91,7 @@
 }
 
 func (r *modelRunner) extendLease(until RunnerClock) {
+	until = min(until, r.clock()+RunnerClock(DefaultMaxLease))
 	if ends := r.born.Add(time.Duration(until)); ends.After(r.leaseEnds) {
 		r.leaseEnds = ends
 	}
@@ -103,7 +128,7 @@
 	}
 	for len(r.ended) > 0 && r.ended[0].Number <= e.Acknowledged {
 		if r.ended[0].Result == RunDone {
-			r.simulation.fail(r.simulation.record.acknowledge(r.id, r.ended[0]))
+			r.simulation.fail(r.simulation.record.acknowledge(r.incarnation(), r.ended[0]))
 		}
 		r.ended = r.ended[1:]
 	}
@@ -133,9 +158,9 @@
 	r.ended = append(r.ended, ended)
 	switch result {
 	case RunDone:
-		r.simulation.record.complete(r.id, r.simulation.now, ended)
+		r.simulation.record.complete(r.incarnation(), r.simulation.now, ended)
 	case RunLeaseExpired:
-		r.simulation.record.expireLease(r.id)
+		r.simulation.record.expireLease(r.incarnation())
 	}
 }
 
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -113,7 +113,7 @@
 
 func (sim *simulation) newRunner(n int) *modelRunner {
 	return &modelRunner{
-		simulation: sim, id: RunnerID(fmt.Sprintf("r%d", n)), born: sim.now,
+		simulation: sim, id: RunnerID(fmt.Sprintf("r%d", n)), born: sim.now, registeredBorn: sim.now,
 		running: map[job.TaskID]*modelRun{}, staleRuns: map[job.TaskID]int{},
 	}
 }
@@ -197,20 +197,21 @@
 		sim.deliver(r, startBytes, func() func() {
 			result, clock := r.start(e), r.clock()
 			return func() {
-				sim.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result, Clock: ClockReading{clock, sim.now}, Took: sim.now.Sub(sent)})
+				sim.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result, Sent: sent, Clock: ClockReading{clock, sim.now}, Took: sim.now.Sub(sent)})
 			}
 		}, func(result CallResult) {
-			sim.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result, Took: sim.now.Sub(sent)})
+			sim.send(p, &TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result, Sent: sent, Took: sim.now.Sub(sent)})
 		})
 	case *StopTask:
 		r := sim.runner(e.Runner.ID)
+		sent := sim.now
 		sim.deliver(r, stopBytes, func() func() {
 			result, clock := r.stop(e), r.clock()
 			return func() {
-				sim.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result, Clock: ClockReading{clock, sim.now}})
+				sim.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result, Sent: sent, Clock: ClockReading{clock, sim.now}})
 			}
 		}, func(result CallResult) {
-			sim.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result})
+			sim.send(p, &TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: result, Sent: sent})
 		})
 	case *PollRunner:
 		sim.polls++
--- a/core/pool/takeover.go
+++ b/core/pool/takeover.go
@@ -83,9 +83,10 @@
 	return true
 }
 
-// leasesExpired reports whether all leases that a previous owner granted have ended.
+// leasesExpired reports whether all leases that a previous owner granted have ended, also
+// those that it granted for the clock of an earlier incarnation of a runner.
 func (p *Pool) leasesExpired(now time.Time) bool {
-	return now.Sub(p.ownedSince) > leaseBound(p.options.Lease)
+	return now.Sub(p.ownedSince) > leaseBound(p.options.MaxLease)
 }
 
 // Recovered reports whether the state of every run of a previous owner is known.
@@ -128,7 +129,7 @@
 // Progress must be read from the store only after that: it is then complete together
 // with the ends that are stored later, which their runners still list.
 func (p *Pool) PreviousOwnersFenced(now time.Time) bool {
-	if !p.hasPreviousOwner() || p.leasesExpired(now) {
+	if !p.hasPreviousOwner() || now.Sub(p.ownedSince) > leaseBound(p.options.Lease) {
 		return true
 	}
 	return p.allReported(now, func(r *runnerState) bool { return r.fenced })
@@ -157,7 +158,7 @@
 			continue
 		}
 		p.emit(&LogDecision{Runner: r.ID, Decision: "runnerGone", Reason: "no instance has this life", DataAge: now.Sub(e.RequestedAt)})
-		(&RunnerEnded{Runner: r.ID}).apply(p, now)
+		(&RunnerEnded{Runner: r.ID, Born: r.born}).apply(p, now)
 	}
 	p.updateIncarnations(e)
 	p.dispatchNeeded = true
@@ -167,7 +168,7 @@
 // nor been registered since a list of incarnations was requested. A runner that has
 // just started may be missing from the list.
 func (r *runnerState) unansweredSince(now, requested time.Time) bool {
-	if r.failedCalls == 0 || !r.firstListed.Before(requested) || !r.lastAnswer.Before(requested) {
+	if r.failedCalls == 0 || !later(r.firstListed, r.incarnationSince).Before(requested) || !r.lastAnswer.Before(requested) {
 		return false
 	}
 	return r.lastAnswer.IsZero() || r.unreachable(now)
--- a/io/owner/carry.go
+++ b/io/owner/carry.go
@@ -99,32 +99,32 @@
 	result = &ownerpb.Result{CallResult: uint32(pool.Unknown), Error: "panic at the delegate"}
 	defer s.logPanic("Carry")
 	if heldSince(time.Now(), received) > time.Duration(order.GetValidNanoseconds()) {
-		return encodeResult(pool.NotSent, pool.ClockReading{}, errOrderExpired)
+		return encodeResult(pool.NotSent, pool.ClockReading{}, time.Time{}, errOrderExpired)
 	}
 	runners := s.handler.Runners()
 	switch o := order.GetOrder().(type) {
 	case *ownerpb.Order_Start:
 		task, err := job.ParseTaskID(o.Start.GetTask())
 		if err != nil {
-			return encodeResult(pool.RefusedInvalid, pool.ClockReading{}, err)
+			return encodeResult(pool.RefusedInvalid, pool.ClockReading{}, time.Time{}, err)
 		}
 		answer, err := runners.Start(ctx, decodeStart(order, o.Start, task))
-		return encodeResult(answer.CallResult, answer.Clock, err)
+		return encodeResult(answer.CallResult, answer.Clock, answer.Born, err)
 	case *ownerpb.Order_Stop:
 		task, err := job.ParseTaskID(o.Stop.GetTask())
 		if err != nil {
-			return encodeResult(pool.RefusedInvalid, pool.ClockReading{}, err)
+			return encodeResult(pool.RefusedInvalid, pool.ClockReading{}, time.Time{}, err)
 		}
 		answer, err := runners.Stop(ctx, &pool.StopTask{Runner: decodeRunner(order), Task: task, Run: int(o.Stop.GetRun()), Fence: pool.Fence(order.GetFence())})
-		return encodeResult(answer.CallResult, answer.Clock, err)
+		return encodeResult(answer.CallResult, answer.Clock, answer.Born, err)
 	case *ownerpb.Order_Poll:
 		answer, err := runners.Poll(ctx, &pool.PollRunner{
 			Runner: decodeRunner(order), Until: pool.RunnerClock(o.Poll.GetUntilNanoseconds()), Fence: pool.Fence(order.GetFence()),
 			Acknowledged: o.Poll.GetAcknowledged(), Wait: time.Duration(o.Poll.GetWaitNanoseconds()),
 		})
-		result := encodeResult(answer.CallResult, answer.Clock, err)
+		result := encodeResult(answer.CallResult, answer.Clock, answer.Born, err)
 		encodePolled(result, answer)
 		return result
 	}
-	return encodeResult(pool.RefusedInvalid, pool.ClockReading{}, errors.New("the delegate does not know the order"))
+	return encodeResult(pool.RefusedInvalid, pool.ClockReading{}, time.Time{}, errors.New("the delegate does not know the order"))
 }
--- a/io/owner/carry_codec.go
+++ b/io/owner/carry_codec.go
@@ -47,8 +47,8 @@
 	return order
 }
 
-func encodeResult(call pool.CallResult, clock pool.ClockReading, err error) *ownerpb.Result {
-	result := &ownerpb.Result{CallResult: uint32(call), ClockNanoseconds: int64(clock.Clock)}
+func encodeResult(call pool.CallResult, clock pool.ClockReading, born time.Time, err error) *ownerpb.Result {
+	result := &ownerpb.Result{CallResult: uint32(call), ClockNanoseconds: int64(clock.Clock), BornMilliseconds: encodeBorn(born)}
 	if err != nil {
 		result.Error = err.Error()
 	}
@@ -69,11 +69,24 @@
 	return pool.ClockReading{Clock: pool.RunnerClock(result.GetClockNanoseconds()), At: time.Now()}
 }
 
+// encodeBorn returns the start time of an incarnation, or 0 if not known.
+func encodeBorn(born time.Time) int64 {
+	if born.IsZero() {
+		return 0
+	}
+	return born.UnixMilli()
+}
+
+// decodeBorn reverses encodeBorn.
+func decodeBorn(milliseconds int64) time.Time {
+	if milliseconds <= 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(milliseconds)
+}
+
 func encodePolled(result *ownerpb.Result, answer *pool.RunnerPolled) {
 	result.Truncated = answer.Truncated
-	if !answer.Born.IsZero() {
-		result.BornMilliseconds = answer.Born.UnixMilli()
-	}
 	for _, t := range answer.Running {
 		result.Running = append(result.Running, &ownerpb.Result_Running{
 			Task: t.Task.String(), Run: int64(t.Run), Checkpoint: t.Checkpoint,
@@ -90,9 +103,6 @@
 // decodePoll adds the lists of a result to an answer.
 func decodePoll(polled *pool.RunnerPolled, result *ownerpb.Result) error {
 	polled.Truncated = result.GetTruncated()
-	if born := result.GetBornMilliseconds(); born > 0 {
-		polled.Born = time.UnixMilli(born)
-	}
 	for _, t := range result.GetRunning() {
 		task, err := job.ParseTaskID(t.GetTask())
 		if err != nil {
--- a/io/owner/delegate.go
+++ b/io/owner/delegate.go
@@ -107,21 +107,29 @@
 // Start implements Runners. The error is ErrDelegateUnavailable if the order was not
 // passed on.
 func (d *Delegate) Start(ctx context.Context, e *pool.StartTask) (*pool.TaskStarted, error) {
+	sent := time.Now()
 	result, callResult, err := d.carry(ctx, 0, encodeStart(e))
-	return &pool.TaskStarted{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: callResult, Clock: decodeClock(result)}, err
+	return &pool.TaskStarted{
+		Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: callResult,
+		Sent: sent, Clock: decodeClock(result), Born: decodeBorn(result.GetBornMilliseconds()),
+	}, err
 }
 
 // Stop implements Runners, see Start.
 func (d *Delegate) Stop(ctx context.Context, e *pool.StopTask) (*pool.TaskStopped, error) {
+	sent := time.Now()
 	result, callResult, err := d.carry(ctx, 0, encodeStop(e))
-	return &pool.TaskStopped{Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: callResult, Clock: decodeClock(result)}, err
+	return &pool.TaskStopped{
+		Runner: e.Runner.ID, Task: e.Task, Run: e.Run, CallResult: callResult,
+		Sent: sent, Clock: decodeClock(result), Born: decodeBorn(result.GetBornMilliseconds()),
+	}, err
 }
 
 // Poll implements Runners, see Start.
 func (d *Delegate) Poll(ctx context.Context, e *pool.PollRunner) (*pool.RunnerPolled, error) {
 	polled := &pool.RunnerPolled{Runner: e.Runner.ID, Sent: time.Now()}
 	result, callResult, err := d.carry(ctx, e.Wait, encodePoll(e))
-	polled.CallResult, polled.Clock = callResult, decodeClock(result)
+	polled.CallResult, polled.Clock, polled.Born = callResult, decodeClock(result), decodeBorn(result.GetBornMilliseconds())
 	if decodeErr := decodePoll(polled, result); decodeErr != nil {
 		polled.CallResult = pool.Unknown
 		return polled, decodeErr
--- a/io/owner/delegate_test.go
+++ b/io/owner/delegate_test.go
@@ -28,7 +28,7 @@
 	if e.Task.Index == 1 {
 		<-ctx.Done()
 	}
-	return &pool.TaskStarted{CallResult: pool.RefusedNoCapacity, Clock: pool.ClockReading{Clock: 7}}, errors.New("no room")
+	return &pool.TaskStarted{CallResult: pool.RefusedNoCapacity, Clock: pool.ClockReading{Clock: 7}, Born: time.UnixMilli(3)}, errors.New("no room")
 }
 
 func (r recordingRunners) Stop(_ context.Context, e *pool.StopTask) (*pool.TaskStopped, error) {
@@ -36,7 +36,7 @@
 		return &pool.TaskStopped{}, nil
 	}
 	r.orders <- e
-	return &pool.TaskStopped{CallResult: pool.Done, Clock: pool.ClockReading{Clock: 8}}, nil
+	return &pool.TaskStopped{CallResult: pool.Done, Clock: pool.ClockReading{Clock: 8}, Born: time.UnixMilli(4)}, nil
 }
 
 func (r recordingRunners) Poll(_ context.Context, e *pool.PollRunner) (*pool.RunnerPolled, error) {
@@ -62,7 +62,10 @@
 var (
 	delegateTask   = job.TaskID{Job: "00000000000000aa", Occurrence: 1, Step: 2, Index: 3}
 	delegateRunner = pool.Runner{ID: "r1", Address: "10.0.0.9:80"}
-	ignoreTimes    = cmp.Options{cmpopts.IgnoreFields(pool.ClockReading{}, "At"), cmpopts.IgnoreFields(pool.RunnerPolled{}, "Sent")}
+	ignoreTimes    = cmp.Options{
+		cmpopts.IgnoreFields(pool.ClockReading{}, "At"), cmpopts.IgnoreFields(pool.RunnerPolled{}, "Sent"),
+		cmpopts.IgnoreFields(pool.TaskStarted{}, "Sent"), cmpopts.IgnoreFields(pool.TaskStopped{}, "Sent"),
+	}
 )
 
 func newDelegate(t *testing.T) (*Delegate, recordingRunners) {
@@ -101,10 +104,10 @@
 		err    string
 	}{
 		{"start", start, func() (any, error) { return d.Start(ctx, start) }, &pool.TaskStarted{
-			Runner: "r1", Task: delegateTask, Run: 2, CallResult: pool.RefusedNoCapacity, Clock: pool.ClockReading{Clock: 7},
+			Runner: "r1", Task: delegateTask, Run: 2, CallResult: pool.RefusedNoCapacity, Clock: pool.ClockReading{Clock: 7}, Born: time.UnixMilli(3),
 		}, "no room"},
 		{"stop", stop, func() (any, error) { return d.Stop(ctx, stop) }, &pool.TaskStopped{
-			Runner: "r1", Task: delegateTask, Run: 2, CallResult: pool.Done, Clock: pool.ClockReading{Clock: 8},
+			Runner: "r1", Task: delegateTask, Run: 2, CallResult: pool.Done, Clock: pool.ClockReading{Clock: 8}, Born: time.UnixMilli(4),
 		}, ""},
 		{"poll", poll, func() (any, error) { return d.Poll(ctx, poll) }, &pool.RunnerPolled{
 			Runner: "r1", CallResult: pool.Done, Clock: pool.ClockReading{Clock: 9}, Born: time.UnixMilli(5), Truncated: true,
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -91,7 +91,7 @@
 	SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error)
 	// EndRunner is the notification that an incarnation of a runner has ended. It does
 	// not stop the runner.
-	EndRunner(ctx context.Context, name job.PoolName, runner pool.RunnerID) error
+	EndRunner(ctx context.Context, name job.PoolName, ended pool.RunnerEnded) error
 	// StoreAge returns the time since the store's last response to a direct call of this
 	// entry.
 	StoreAge() time.Duration
@@ -294,9 +294,11 @@
 
 // EndRunner notifies the owner of a pool that an incarnation of a runner has ended. It
 // does not stop the runner.
-func (p *Peers) EndRunner(ctx context.Context, address string, name job.PoolName, runner pool.RunnerID) error {
+func (p *Peers) EndRunner(ctx context.Context, address string, name job.PoolName, ended pool.RunnerEnded) error {
 	return p.call(address, func(c ownerpb.OwnerClient) error {
-		_, err := c.EndRunner(ctx, &ownerpb.EndRunnerRequest{Pool: string(name), Runner: string(runner)})
+		_, err := c.EndRunner(ctx, &ownerpb.EndRunnerRequest{
+			Pool: string(name), Runner: string(ended.Runner), BornMilliseconds: encodeBorn(ended.Born),
+		})
 		return err
 	})
 }
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -52,7 +52,7 @@
 	return pool.Report{}, ErrNotOwner
 }
 
-func (strangerHandler) EndRunner(context.Context, job.PoolName, pool.RunnerID) error {
+func (strangerHandler) EndRunner(context.Context, job.PoolName, pool.RunnerEnded) error {
 	return ErrNotOwner
 }
 
@@ -81,7 +81,7 @@
 		"State":     func() error { _, err := p.State(ctx, address, "booking", "1"); return err },
 		"Waiting":   func() error { _, err := p.Waiting(ctx, address, "booking", "seats"); return err },
 		"Sync":      func() error { _, err := p.Sync(ctx, address, "booking", nil); return err },
-		"EndRunner": func() error { return p.EndRunner(ctx, address, "booking", "r1") },
+		"EndRunner": func() error { return p.EndRunner(ctx, address, "booking", pool.RunnerEnded{Runner: "r1"}) },
 		"Yield":     func() error { return p.Yield(ctx, address, "pool/booking") },
 	} {
 		if err := call(); !errors.Is(err, ErrNotOwner) {
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -61,7 +61,9 @@
 
 // EndRunner implements ownerpb.OwnerServer.
 func (s *server) EndRunner(ctx context.Context, in *ownerpb.EndRunnerRequest) (*ownerpb.EndRunnerReply, error) {
-	err := s.handler.EndRunner(ctx, job.PoolName(in.GetPool()), pool.RunnerID(in.GetRunner()))
+	err := s.handler.EndRunner(ctx, job.PoolName(in.GetPool()), pool.RunnerEnded{
+		Runner: pool.RunnerID(in.GetRunner()), Born: decodeBorn(in.GetBornMilliseconds()),
+	})
 	return &ownerpb.EndRunnerReply{}, statusError(err)
 }
 
--- a/manager/fleet_owner.go
+++ b/manager/fleet_owner.go
@@ -249,10 +249,11 @@
 func (f *fleetOwner) endRunner(ctx context.Context, e *maintenance.NotifyRunnerEnded) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	err := f.m.EndRunner(ctx, e.Pool, e.Runner)
+	ended := pool.RunnerEnded{Runner: e.Runner, Born: e.Born}
+	err := f.m.EndRunner(ctx, e.Pool, ended)
 	if err != nil {
 		if address := f.m.ownerAddress(e.Pool); address != "" {
-			err = f.m.peers.EndRunner(ctx, address, e.Pool, e.Runner)
+			err = f.m.peers.EndRunner(ctx, address, e.Pool, ended)
 		}
 	}
 	if err != nil {
--- a/manager/peer_handler.go
+++ b/manager/peer_handler.go
@@ -82,12 +82,12 @@
 
 // EndRunner notifies the pool's owner that an incarnation of a runner has ended. It does
 // not stop the runner.
-func (m *Manager) EndRunner(_ context.Context, name job.PoolName, runner pool.RunnerID) error {
+func (m *Manager) EndRunner(_ context.Context, name job.PoolName, ended pool.RunnerEnded) error {
 	o := m.localOwner(name)
 	if o == nil {
 		return owner.ErrNotOwner
 	}
-	o.submit(&pool.RunnerEnded{Runner: runner})
+	o.submit(&ended)
 	return nil
 }
 
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -150,7 +150,7 @@
 	}
 	return pool.Options{
 		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
-		Lease: lease,
+		Lease: lease, MaxLease: o.m.options.MaxLease,
 	}.ScaledTo(o.m.options.Capacity)
 }
 
