Count the lease that a restarted runner grants by its previous clock

Cause: the bound was cleared by any answer to a call that was sent since, also by the one that showed the restart, and by answers of the new incarnation.

Change: an answer that raises a doubt does not clear it, and a new incarnation sets it for all calls up to then. TestLeaseByThePreviousClockLastsForTheMaximum failed before (5.4 s).

--- a/core/pool/incarnation.go
+++ b/core/pool/incarnation.go
@@ -18,6 +18,9 @@
 // and a restart breaks the connection of that poll.
 const incarnationProofAge = pollWait + 600*time.Millisecond
 
+// maxCallTime is how long a call takes at most until its answer counts as lost.
+const maxCallTime = 1 * time.Second
+
 // unansweredStart is a start without an answer.
 type unansweredStart struct {
 	run    int
@@ -95,8 +98,8 @@
 	r.failedCalls = 0
 	r.lastAnswer = now
 	r.updateClock(a.clock)
-	if !a.sent.Before(r.uncertainLease.grantedAt) {
-		r.uncertainLease = uncertainLease{}
+	if !r.doubted && !a.sent.Before(r.uncertainLease.grantedAt) {
+		r.uncertainLease = uncertainLease{} // its grant has reached the incarnation it was meant for
 	}
 	return a.result
 }
@@ -110,8 +113,9 @@
 			p.doubtIncarnation(now, r, a.clock.Clock)
 		}
 	case r.born.IsZero():
-		r.born = a.born
+		r.born, r.doubted = a.born, false
 	case a.born.Equal(r.born):
+		r.doubted = false
 	case a.born.After(r.born) || !a.sent.Before(r.incarnationSince):
 		// A call sent after the news of an incarnation cannot be answered by a previous
 		// one. Born may then be earlier because the time of day was set back.
@@ -136,7 +140,7 @@
 // answer to a poll names its incarnation.
 func (p *Pool) doubtIncarnation(now time.Time, r *runnerState, clock RunnerClock) {
 	p.emit(&LogDecision{Runner: r.ID, Decision: "runnerDoubted", Reason: "its clock reads " + time.Duration(clock).String(), DataAge: now.Sub(r.lastAnswer)})
-	r.resolved, r.fenced = false, false
+	r.doubted, r.resolved, r.fenced = true, false, false
 	r.clock = ClockReading{}
 	r.nextPoll = now
 }
@@ -150,7 +154,7 @@
 		Reason: source + " names the incarnation of " + born.UTC().Format(time.RFC3339Nano) + " after that of " + r.born.UTC().Format(time.RFC3339Nano),
 	})
 	r.born, r.incarnationSince = born, now
-	r.resolved, r.fenced = false, false
+	r.doubted, r.resolved, r.fenced = false, false, false
 	r.clock = ClockReading{}
 	r.pendingEnds = nil
 	r.handledEnd, r.storedEnd, r.ackedEnd, r.polledAck = 0, 0, 0, 0
@@ -165,9 +169,9 @@
 		t.listed, t.startedBeforeRestart = false, true
 		t.stoppedAt = time.Time{}
 	}
-	if len(r.tasks) > 0 {
-		r.uncertainLease = uncertainLease{grantedAt: now, ends: now.Add(leaseBound(p.options.MaxLease))}
-	}
+	// Calls up to now may have granted the new incarnation a lease by the previous clock.
+	r.leaseEnds = later(r.leaseEnds, now.Add(leaseBound(p.options.MaxLease)+maxCallTime))
+	r.uncertainLease = uncertainLease{}
 	p.rejectUnansweredStarts(r)
 	p.dispatchNeeded = true
 }
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -323,3 +323,33 @@
 		t.Errorf("the task is started elsewhere after %v, within the longest lease", waited)
 	}
 }
+
+// TestLeaseByThePreviousClockLastsForTheMaximum guards against two runs at once, which the
+// soak showed: the start of a persistent task reached a runner that had restarted unnoticed,
+// with an expiry for its previous clock. The runner answered and became unreachable soon
+// after, and the task was started elsewhere when the lease that was meant had ended.
+func TestLeaseByThePreviousClockLastsForTheMaximum(t *testing.T) {
+	cases := map[string]func(h *harness){
+		"noticed by the registration": func(h *harness) { h.register(secondBorn) },
+		"noticed by a poll":           func(*harness) {},
+	}
+	for title, notice := range cases {
+		t.Run(title, func(t *testing.T) {
+			h := newRestartHarness(t)
+			step := singleTaskStep()
+			step.Persistent = true
+			start := effectsOf[*StartTask](h.storeJob(jobID(2), false, step))[0]
+			sent := h.now
+			h.now = h.now.Add(5 * time.Millisecond)
+			h.send(&TaskStarted{Runner: "r1", Task: start.Task, Run: 1, CallResult: Done, Sent: sent, Clock: ClockReading{Clock: RunnerClock(time.Second), At: h.now}})
+			notice(h)
+			h.answer(secondBorn, []RunningTask{{Task: start.Task, Run: 1}})
+			h.send(&RunnersListed{Runners: []Runner{{ID: "r1", Born: secondBorn}, {ID: "r2", Address: "r2", Capacity: job.Resources{CPU: 16000, Memory: 65536}}}})
+			h.answerPoll("r2", nil, nil)
+			want(t, "start elsewhere", h.restartsWhileUnreachable(15*time.Second), []string{start.Task.String() + " 2@r2"})
+			if waited := h.now.Sub(sent); waited < DefaultMaxLease {
+				t.Errorf("the task is started elsewhere after %v, within the longest lease", waited)
+			}
+		})
+	}
+}
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -65,6 +65,9 @@
 	// born is the start time of the current incarnation, zero if not known. All that
 	// the runner says of itself and its runs holds for this incarnation only.
 	born time.Time
+	// doubted is true from an answer whose clock does not fit the current incarnation until a
+	// poll has named it.
+	doubted bool
 	// incarnationSince is when the owner learnt of the current incarnation, zero if it
 	// knows of no earlier one.
 	incarnationSince time.Time
