Extend claims in an outage only if every known entry lacks the store

Cause: extendInOutage asked holders of claims only, one answer was enough, and silence counted for nothing. Two owners in a data centre that is cut off took that for an outage of the store and went on while an owner elsewhere had taken over.

Change: Tracker.Extend takes an inquiry among all known entries; an entry that reports an outage lets the TTL of the claims that it has read begin anew; the age of the store counts answers through peers, too.

--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// Known returns the other members as of the last call of Observe, however long ago that was.
+func (t *Tracker) Known() []Member {
+	var out []Member
+	for name, m := range t.members {
+		if name != t.name {
+			out = append(out, m.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Peers returns the other members, those of the own data centre first. Each entry gets
 // them in an order of its own, so that entries that need help at the same time do not all
 // ask the same peer, and the larger ones more often at the front (weighted rendezvous
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -36,6 +36,9 @@
 	// ClaimTTL is how long a claim is valid without renewal. Together with the time
 	// of takeover and loading it stays below the lease of tasks.
 	ClaimTTL = 2 * time.Second
+	// validity is how long a process relies on a claim that it has renewed or extended.
+	// Clocks that differ in rate by a fortieth do not make two owners.
+	validity = ClaimTTL - ClaimTTL/40
 	// RenewInterval leaves time for two more attempts within ClaimTTL.
 	RenewInterval = 600 * time.Millisecond
 	// delayPerShard delays takeovers by a process for each shard that it owns, and
@@ -273,24 +276,12 @@
 // Drop ends the ownership of a shard without a write.
 func (t *Tracker) Drop(shard Shard) { delete(t.owned, shard) }
 
-// Extend renews the ownerships of this process as of now during an outage of the store.
-// The store last answered any process at the given time, so no shard can have been taken
-// over since. An ownership that had expired by then is not extended, because another
-// process may have replaced its claim before the outage.
-func (t *Tracker) Extend(now, answered time.Time) {
-	for _, o := range t.owned {
-		if now.After(o.renewedAt) && answered.Sub(o.renewedAt) < ClaimTTL {
-			o.renewedAt = now
-		}
-	}
-}
-
 // Valid reports whether this process certainly still owns a shard. It checks both the
 // monotonic clock and the wall clock, because the monotonic clock may stop while the
 // machine is suspended.
 func (t *Tracker) Valid(now time.Time, shard Shard) bool {
 	o := t.owned[shard]
-	return o != nil && now.Sub(o.renewedAt) < ClaimTTL && now.Round(0).Sub(o.renewedAt.Round(0)) < ClaimTTL
+	return o != nil && now.Sub(o.renewedAt) < validity && now.Round(0).Sub(o.renewedAt.Round(0)) < validity
 }
 
 // abandonAfter is how long a process tries to renew a claim before it drops the shard.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -25,6 +25,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"google.golang.org/grpc"
@@ -35,6 +36,7 @@
 	"google.golang.org/grpc/status"
 
 	"bronzestair/core/job"
+	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/core/table"
 	"bronzestair/io/owner/ownerpb"
@@ -338,13 +340,13 @@
 }
 
 // StoreAges returns the age of the store's last response to each peer. Peers that do
-// not respond within storeAgeTimeout are left out.
-func (p *Peers) StoreAges(ctx context.Context, addresses []string) map[string]time.Duration {
+// not respond within storeAgeTimeout are left out, but for those that have ended.
+func (p *Peers) StoreAges(ctx context.Context, addresses []string) map[string]ownership.PeerReport {
 	ctx, cancel := context.WithTimeout(ctx, storeAgeTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	ages := map[string]time.Duration{}
+	reports := map[string]ownership.PeerReport{}
 	for _, address := range addresses {
 		wg.Go(func() {
 			err := p.call(address, func(c ownerpb.OwnerClient) error {
@@ -354,14 +356,32 @@
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				ages[address] = time.Duration(reply.GetAgeMilliseconds()) * time.Millisecond
+				reports[address] = ownership.PeerReport{StoreAge: time.Duration(reply.GetAgeMilliseconds()) * time.Millisecond}
 				return nil
 			})
+			if status.Code(err) == codes.Unavailable && refusesConnections(ctx, address) {
+				mu.Lock()
+				defer mu.Unlock()
+				reports[address] = ownership.PeerReport{Ended: true}
+				return
+			}
 			if err != nil {
 				p.logger.Info("peer did not report the age of the store's last response", "peer", address, "error", err)
 			}
 		})
 	}
 	wg.Wait()
-	return ages
+	return reports
+}
+
+// refusesConnections reports whether no process listens at an address. A machine without
+// power, or behind a partition, does not refuse connections.
+func refusesConnections(ctx context.Context, address string) bool {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
 }
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,9 +29,6 @@
 	// renewTimeout lets two attempts at a renewal fail within ownership.ClaimTTL. A slow
 	// store commits a transaction in a quarter of a second.
 	renewTimeout = ownership.RenewInterval
-	// outageThreshold is the age of the store's last answer from which on the store
-	// counts as unavailable.
-	outageThreshold = 900 * time.Millisecond
 )
 
 const claimTable = "claims"
@@ -288,34 +286,40 @@
 	calls.Wait()
 }
 
-// extendInOutage extends this entry's ownerships during an outage of the store. It
-// does so only if at least one peer answers and no answering peer has reached the
-// store either: then no peer can take over.
+// extendInOutage extends this entry's ownerships during an outage of the store, if all other
+// entries report that it is unavailable to them, too.
 func (m *Manager) extendInOutage(ctx context.Context) {
 	m.mu.Lock()
 	oldest, found := m.tracker.OldestRenewal()
-	peers := m.tracker.Peers()
 	m.mu.Unlock()
-	requestedAt := time.Now()
-	if !found || requestedAt.Sub(oldest) < outageThreshold || requestedAt.Sub(m.store.LastResponse()) < outageThreshold {
+	q := ownership.Inquiry{SentAt: time.Now(), LastResponse: m.store.LastResponse()}
+	if !found || q.SentAt.Sub(oldest) < ownership.OutageThreshold || q.SentAt.Sub(q.LastResponse) < ownership.OutageThreshold {
+		m.extensionRefusal = ""
 		return
 	}
-	ages := m.peers.StoreAges(ctx, peers)
-	if len(ages) == 0 {
-		return
+	q.Peers = m.allPeers()
+	q.Reports = m.peers.StoreAges(ctx, q.Peers)
+	m.mu.Lock()
+	refusal := m.tracker.Extend(q)
+	m.mu.Unlock()
+	if refusal != m.extensionRefusal {
+		m.logger.Warn("claims are not extended in the outage", "reason", refusal, "storeAge", q.SentAt.Sub(q.LastResponse), "renewedBefore", q.SentAt.Sub(oldest))
 	}
-	lastResponse := m.store.LastResponse()
-	for _, age := range ages {
-		if age < outageThreshold {
-			return
-		}
-		if at := requestedAt.Add(-age); at.After(lastResponse) {
-			lastResponse = at
+	m.extensionRefusal = refusal
+}
+
+// allPeers returns the addresses of all other entries as of the last reads of the members and
+// the claims. During an outage, members count as such for as long as it lasts.
+func (m *Manager) allPeers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addresses := m.tracker.Peers()
+	for _, member := range m.members.Known() {
+		if member.Address != m.options.Address && !slices.Contains(addresses, member.Address) {
+			addresses = append(addresses, member.Address)
 		}
 	}
-	m.mu.Lock()
-	m.tracker.Extend(requestedAt, lastResponse)
-	m.mu.Unlock()
+	return addresses
 }
 
 // stopExpiredShards stops the shards whose claims have gone without a renewal for so
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -112,6 +112,8 @@
 	catalog catalog.Holder
 	// claimsVersion is the table version up to which claims have been read.
 	claimsVersion table.Version
+	// extensionRefusal is why the claims were last not extended in an outage, "" if they were.
+	extensionRefusal string
 	// ownershipBegan wakes followRunners.
 	ownershipBegan chan struct{}
 	// claimsChanged wakes the loop that maintains claims.
--- a/manager/peer_handler.go
+++ b/manager/peer_handler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzestair/core/job"
+	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/io/owner"
 )
@@ -91,9 +92,19 @@
 	return nil
 }
 
-// StoreAge returns the time since the store's last response to a direct call of this
-// entry.
-func (m *Manager) StoreAge() time.Duration { return time.Since(m.store.direct.LastResponse()) }
+// StoreAge returns the time since the store's last response to this entry, directly or
+// through a peer. If it shows an outage, the calling peer may rely on its claims for longer,
+// see ownership.Tracker.ReportOutage.
+func (m *Manager) StoreAge() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	age := now.Sub(m.store.LastResponse())
+	if age >= ownership.OutageThreshold {
+		m.tracker.ReportOutage(now)
+	}
+	return age
+}
 
 // DirectStore returns the store that this entry calls directly, or one that refuses all
 // calls while this entry does not reach the store.
--- a/manager/yield.go
+++ b/manager/yield.go
@@ -17,7 +17,7 @@
 
 // requestYield asks a smaller entry to yield a shard that this entry should own.
 func (m *Manager) requestYield(ctx context.Context) {
-	if m.StoreAge() > outageThreshold {
+	if time.Since(m.store.direct.LastResponse()) > ownership.OutageThreshold {
 		return
 	}
 	pools := m.poolShards()
@@ -39,7 +39,7 @@
 
 // Yield releases a shard at the request of a larger entry, which then takes it over.
 func (m *Manager) Yield(ctx context.Context, name string) error {
-	if m.StoreAge() > outageThreshold {
+	if time.Since(m.store.direct.LastResponse()) > ownership.OutageThreshold {
 		return errStoreUnavailable
 	}
 	shard := ownership.Shard(name)
