Refuse registrations, jobs and capacities that are out of range

Operators of similar systems reported processes that ended, or stopped following the runners, after another writer had left one odd entry. Here no process ended, but entries that decode and cannot be used named runners: a port out of range, a capacity whose sum overflows, a start time beyond what can be encoded. They were polled and awaited by new owners. One odd capacity made the list of instances useless, and durations beyond their type depend on the processor.

Cause: decoding checked types, not ranges.

The lists of a new incarnation decide about tasks, not the registration that names it, which may be another writer's.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -31,6 +31,13 @@
 	MaxTasks = 10_000
 	// MaxOccurrences is the maximum repeat count.
 	MaxOccurrences = 100_000
+	// MaxRuntime is the maximum estimated runtime of a task. The sum over the steps of a job
+	// stays within the range of a duration.
+	MaxRuntime = 365 * 24 * time.Hour
+	// MaxSpan is the maximum time from the first to the last occurrence.
+	MaxSpan = 100 * MaxRuntime
+	// maxAmount limits each resource, so that sums over a fleet stay within their types.
+	maxAmount = 1_000_000_000
 )
 
 // ID identifies a job within its queue. It consists of 16 hexadecimal digits chosen by
@@ -105,6 +112,19 @@
 	GPU    int      `json:"gpu,omitempty"`
 }
 
+// Validate checks that the amounts are neither negative nor so large that sums overflow.
+func (r Resources) Validate() error {
+	for _, n := range []int64{int64(r.CPU), int64(r.Memory), int64(r.GPU)} {
+		if n < 0 {
+			return fmt.Errorf("a negative amount")
+		}
+		if n > maxAmount {
+			return fmt.Errorf("amount %d is more than %d", n, maxAmount)
+		}
+	}
+	return nil
+}
+
 func (r Resources) Add(o Resources) Resources {
 	return Resources{CPU: r.CPU + o.CPU, Memory: r.Memory + o.Memory, GPU: r.GPU + o.GPU}
 }
@@ -228,7 +248,8 @@
 		return fmt.Errorf("a job needs at least one step")
 	case len(s.Steps) > MaxSteps:
 		return fmt.Errorf("job has %d steps, more than %d", len(s.Steps), MaxSteps)
-	case s.Repeat.Count < 0 || s.Repeat.Count > MaxOccurrences || s.Repeat.Interval < 0:
+	case s.Repeat.Count < 0 || s.Repeat.Count > MaxOccurrences || s.Repeat.Interval < 0 ||
+		s.Repeat.Interval > MaxSpan/time.Duration(max(1, s.Repeat.Count)):
 		return fmt.Errorf("repeat count %d or interval %v is out of range", s.Repeat.Count, s.Repeat.Interval)
 	}
 	tasks := 0
@@ -248,10 +269,15 @@
 	if s.Count < 1 || s.Count > MaxTasks {
 		return fmt.Errorf("count %d is not between 1 and %d", s.Count, MaxTasks)
 	}
-	if s.CPU < 0 || s.Memory < 0 || s.GPU < 0 || s.MaxPerInstance < 0 || s.DisruptionBudget < 0 ||
-		s.EstimatedRuntime < 0 || s.LatencyTarget < 0 {
+	if err := s.Resources.Validate(); err != nil {
+		return err
+	}
+	if s.MaxPerInstance < 0 || s.DisruptionBudget < 0 || s.EstimatedRuntime < 0 || s.LatencyTarget < 0 {
 		return fmt.Errorf("a negative amount")
 	}
+	if s.EstimatedRuntime > MaxRuntime || s.LatencyTarget > MaxRuntime {
+		return fmt.Errorf("estimated runtime %v or latency target %v is more than %v", s.EstimatedRuntime, s.LatencyTarget, MaxRuntime)
+	}
 	for _, dependency := range s.After {
 		if dependency < 0 || dependency >= index {
 			return fmt.Errorf("after names step %d, which is not an earlier step", dependency)
--- a/core/pool/incarnation.go
+++ b/core/pool/incarnation.go
@@ -145,9 +145,9 @@
 	r.nextPoll = now
 }
 
-// beginIncarnation forgets all that previous incarnations have said. The tasks that they
-// ran are lost. Tasks whose start may have reached the new incarnation stay assigned until
-// it has listed its runs.
+// beginIncarnation forgets all that previous incarnations have said. The tasks stay assigned
+// until the new incarnation has listed its runs, as it may have carried out their starts, and
+// as a registration may be another writer's.
 func (p *Pool) beginIncarnation(now time.Time, r *runnerState, born time.Time, source string) {
 	p.emit(&LogDecision{
 		Runner: r.ID, Decision: "runnerRestarted", DataAge: now.Sub(r.lastAnswer),
@@ -164,9 +164,8 @@
 	for _, cached := range p.tickets {
 		delete(cached.tickets, r.ID)
 	}
-	p.unassignLost(now, r, "runnerRestarted", func(t *task) bool { return t.listed && !t.inFlight && !t.orderUnanswered })
 	for _, t := range r.tasksByID {
-		t.listed, t.startedBeforeRestart = false, true
+		t.startedBeforeRestart = true
 		t.stoppedAt = time.Time{}
 	}
 	// Calls up to now may have granted the new incarnation a lease by the previous clock.
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -51,9 +51,8 @@
 	// unresolved is true if the lease of this run has ended and the runner has not
 	// reported how the run ended.
 	unresolved bool
-	// listed is true once the runner's current incarnation has listed this run.
 	// startedBeforeRestart is true if the run was ordered from a previous incarnation.
-	listed, startedBeforeRestart bool
+	startedBeforeRestart bool
 
 	confirmedAt     time.Time // when the runner confirmed that this run has started
 	startVoidAfter  time.Time // when an unconfirmed start can no longer take effect
@@ -272,7 +271,7 @@
 		t.runner.release(t)
 	}
 	t.orderCount, t.inFlight, t.orderUnanswered, t.unresolved = 0, false, false, false
-	t.listed, t.startedBeforeRestart = false, false
+	t.startedBeforeRestart = false
 	t.confirmedAt, t.stoppedAt, t.startVoidAfter = time.Time{}, time.Time{}, time.Time{}
 	t.progressPercent, t.tailLatency, t.throttle = 0, 0, 0
 	p.dispatchNeeded = true
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -272,7 +272,6 @@
 			p.stopUnknownRun(r, listedRun)
 			continue
 		}
-		t.listed = true
 		if t.state == starting {
 			t.state = running
 			t.confirmedAt, t.progressAt = now, now
--- a/manager/load_jobs.go
+++ b/manager/load_jobs.go
@@ -161,10 +161,11 @@
 		if progressRow, ok := progressRows[row.Name]; ok {
 			decoded, err := job.DecodeProgress(progressRow.Value)
 			if err != nil {
-				o.m.logger.Error("cannot decode job progress", "job", progressRow.Name, "error", err)
-			} else {
-				event.Progress = decoded
+				// Without its progress, the tasks that are done would run again.
+				o.m.logger.Error("cannot decode job progress; job is left out", "job", progressRow.Name, "error", err)
+				continue
 			}
+			event.Progress = decoded
 			event.ProgressVersion = pool.RowVersion(progressRow.Version)
 		}
 		o.submit(event)
--- a/manager/registrations_test.go
+++ b/manager/registrations_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,3 +67,29 @@
 		want(t, "registrations of an owner again", registered(), 2)
 	})
 }
+
+// TestOddRegistrationIsLeftOut guards against an odd row of another writer that keeps the rows
+// beside it, or later ones, from being followed.
+func TestOddRegistrationIsLeftOut(t *testing.T) {
+	row := func(name, value string) table.Row {
+		return table.Row{Key: table.Key{Table: "runners", Name: name}, Value: []byte(value)}
+	}
+	m := New(Options{Name: "entry-1"}, newMemoryStore(), nil, nil, runnerSchema{})
+	for _, c := range []struct {
+		name string
+		changes
+		want []pool.RunnerID
+	}{
+		{"odd row among good ones", changes{rows: []table.Row{row("r1", ""), row("odd", "broken"), row("r2", "")}, snapshot: true}, []pool.RunnerID{"r1", "r2"}},
+		{"good row is overwritten", changes{rows: []table.Row{row("r1", "broken"), row("r3", "")}}, []pool.RunnerID{"r2", "r3"}},
+		{"odd rows are mended", changes{rows: []table.Row{row("r1", ""), row("odd", "")}}, []pool.RunnerID{"odd", "r1", "r2", "r3"}},
+	} {
+		m.applyRunnerRows(t.Context(), c.changes)
+		var got []pool.RunnerID
+		for _, r := range m.runnersInPool("booking").Runners {
+			got = append(got, r.ID)
+		}
+		slices.Sort(got)
+		want(t, c.name, got, c.want)
+	}
+}
