Submit events to owners without the manager's lock; watch the loops

Callers of an entry got no answer at all while it reported itself ready: with the inbox of a pool's owner full, the loop that reads registrations waited for the owner with the manager's lock held, and the owner waited for the lock.

--- a/manager/claims.go
+++ b/manager/claims.go
@@ -55,6 +55,7 @@
 	ticker := time.NewTicker(claimInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
+		m.claimsProgress.record()
 		if n%claimReadIntervals == 0 {
 			m.readClaims(ctx)
 			m.requestYield(ctx)
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -168,21 +170,35 @@
 // configurationChanged passes the queue settings to all pool owners of this process.
 func (m *Manager) configurationChanged() {
 	settings := m.catalog.Get().QueueSettings()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, o := range m.pools {
+	for _, o := range m.poolOwners() {
 		o.submit(&pool.QueuesChanged{Queues: settings})
 	}
 }
 
+// poolOwners returns the pool owners of this process. Events must be submitted to them
+// without the lock: an owner whose inbox is full may wait for the lock itself.
+func (m *Manager) poolOwners() []*poolOwner {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.pools))
+}
+
 // applyRunnerRows applies changes to the copy of the runner table and passes the
 // registered runners to the pool owners of this process. It does nothing once the context
 // has ended, as the copy is then no longer kept up to date.
 func (m *Manager) applyRunnerRows(ctx context.Context, c changes) {
+	for o, event := range m.updateRegistrations(ctx, c) {
+		o.submit(event)
+	}
+}
+
+// updateRegistrations applies changes to the copy of the runner table and returns the events
+// for the pool owners of this process.
+func (m *Manager) updateRegistrations(ctx context.Context, c changes) map[*poolOwner]*pool.RunnersListed {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if ctx.Err() != nil {
-		return
+		return nil
 	}
 	now := time.Now()
 	before := m.registrationStates()
@@ -211,9 +227,11 @@
 		}
 	}
 	m.registrationsReadAt = time.Now()
+	events := make(map[*poolOwner]*pool.RunnersListed, len(m.pools))
 	for _, o := range m.pools {
-		o.submit(m.runnersInPool(o.name))
+		events[o] = m.runnersInPool(o.name)
 	}
+	return events
 }
 
 // unregister removes a runner whose row was removed. Within reregisterGrace of the
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerSubmitTimeout)
 	defer cancel()
 	if o := m.localOwner(record.Pool); o != nil {
-		return o.writer.storeNewJob(ctx, record, value)
+		return o.storeNewJob(ctx, record, value)
 	}
 	address := m.ownerAddress(record.Pool)
 	if address == "" || m.breakers.open(time.Now(), address) {
@@ -89,6 +89,16 @@
 	return SubmitResult(result), nil
 }
 
+// storeNewJob stores a job of this owner's pool, unless the owner is overloaded.
+func (o *poolOwner) storeNewJob(ctx context.Context, record *job.Record, value []byte) (SubmitResult, error) {
+	if o.overloaded() {
+		o.m.logger.Info("job refused", "job", record.ID, "pool", o.name, "queuedEvents", len(o.inbox), "reason", "the pool's owner is overloaded")
+		// An earlier request may have stored the job.
+		return o.writer.uncertainJobs.reconcile(time.Now(), record.ID, NotStored), nil
+	}
+	return o.writer.storeNewJob(ctx, record, value)
+}
+
 // ErrUnknownJob is returned for a job that does not exist.
 var ErrUnknownJob = errors.New("job does not exist")
 
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -118,8 +118,10 @@
 	ownershipBegan chan struct{}
 	// claimsChanged wakes the loop that maintains claims.
 	claimsChanged chan struct{}
-	// stopping is true once Stop has been called.
-	stopping atomic.Bool
+	// stopping is true once Stop has been called, stalled while a loop makes no progress.
+	stopping, stalled atomic.Bool
+	// claimsProgress is that of the loop that maintains claims.
+	claimsProgress loopProgress
 
 	mu      sync.Mutex
 	tracker *ownership.Tracker
@@ -182,9 +184,11 @@
 	return m
 }
 
-// Ready reports whether the entry accepts jobs: it has a configuration and is not
-// stopping.
-func (m *Manager) Ready() bool { return m.catalog.Get() != nil && !m.stopping.Load() }
+// Ready reports whether the entry accepts jobs: it has a configuration, is not stopping and
+// its loops make progress.
+func (m *Manager) Ready() bool {
+	return m.catalog.Get() != nil && !m.stopping.Load() && !m.stalled.Load()
+}
 
 // Catalog returns the configuration in force, or nil.
 func (m *Manager) Catalog() *catalog.Catalog { return m.catalog.Get() }
@@ -212,6 +216,10 @@
 		m.maintainMembership(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		m.watchLoops(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		m.direct.run(ctx)
 		return nil
--- a/manager/peer_handler.go
+++ b/manager/peer_handler.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return 0, err
 	}
-	result, err := o.writer.storeNewJob(ctx, record, value)
+	result, err := o.storeNewJob(ctx, record, value)
 	if result == NotStored && (errors.Is(err, errNotSent) || errors.Is(err, errStoreUnavailable)) {
 		return 0, owner.ErrNotOwner
 	}
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -16,6 +16,9 @@
 	tickInterval = 50 * time.Millisecond
 	// inboxSize is large enough for the events of a burst.
 	inboxSize = 4096
+	// maxQueuedEvents is the number of queued events from which on an owner accepts no
+	// further jobs, which leaves room for the answers of runners.
+	maxQueuedEvents = inboxSize / 2
 	// maxEventBatch bounds the events that are reduced before a waiting query is run.
 	maxEventBatch = 256
 	// cordonTimeout is how long cordons last unless the fleet's owner renews them.
@@ -69,6 +72,7 @@
 	recovered bool
 	awaited   []pool.RunnerID
 	done      chan struct{}
+	progress  loopProgress
 }
 
 func newPoolOwner(m *Manager, name job.PoolName, tenure ownership.Tenure, cancel context.CancelFunc) *poolOwner {
@@ -94,6 +98,9 @@
 	}
 }
 
+// overloaded reports whether the owner is so far behind that it accepts no further jobs.
+func (o *poolOwner) overloaded() bool { return len(o.inbox) > maxQueuedEvents }
+
 // runQuery runs a query between two batches of events, with the context of the
 // ownership. It returns false if the owner or the caller's context ends first.
 func (o *poolOwner) runQuery(ctx context.Context, query func(context.Context, *pool.Pool)) bool {
@@ -122,6 +129,7 @@
 	expiryTicker := time.NewTicker(outcomeExpiryInterval)
 	defer expiryTicker.Stop()
 	for {
+		o.progress.record()
 		select {
 		case <-ctx.Done():
 			return
