Keep the settings of a removed queue for the jobs that it has accepted

Cause: settings of a queue that is no longer configured were replaced by defaults, and the stored record of a job held none. Ruled out: failures that were not counted (both were stored).

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -293,6 +293,23 @@
 	ID       ID        `json:"id"`
 	Spec     Spec      `json:"spec"`
 	Accepted time.Time `json:"accepted"`
+	// Settings are those of the queue when the job was accepted. They are nil in records of
+	// versions that did not store them.
+	Settings *QueueSettings `json:"settings,omitempty"`
+}
+
+// QueueSettings are the operator's settings of a queue.
+type QueueSettings struct {
+	// Priority is 0 for the most urgent queue.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts is the number of failed runs of a task after which its job fails.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// Stretch and LatencyTarget set the objective for the completion time of a job:
+	// Stretch times its critical path, plus LatencyTarget.
+	Stretch       float64       `json:"stretch,omitempty"`
+	LatencyTarget time.Duration `json:"latencyTarget,omitempty"`
+	// RequiresTickets is true if tasks need a ticket for the runner they start on.
+	RequiresTickets bool `json:"requiresTickets,omitempty"`
 }
 
 // Encode returns the JSON encoding for the value of the job's row.
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -256,7 +256,7 @@
 	}
 	t.failed = append(t.failed, end.Run)
 	seq := t.job.markDirty(now)
-	if len(t.failed) >= p.queue(t.job.record.Queue).MaxAttempts {
+	if len(t.failed) >= p.settings(t.job).MaxAttempts {
 		p.failJob(now, t)
 	}
 	return seq
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -96,18 +96,7 @@
 }
 
 // QueueSettings are the operator's settings of a queue.
-type QueueSettings struct {
-	// Priority is 0 for the most urgent queue.
-	Priority int
-	// MaxAttempts is the number of failed runs of a task after which its job fails.
-	MaxAttempts int
-	// Stretch and LatencyTarget set the objective for the completion time of a job:
-	// Stretch times its critical path, plus LatencyTarget.
-	Stretch       float64
-	LatencyTarget time.Duration
-	// RequiresTickets is true if tasks need a ticket for the runner they start on.
-	RequiresTickets bool
-}
+type QueueSettings = job.QueueSettings
 
 // defaultAttempts applies to queues whose settings are not known.
 const defaultAttempts = 3
@@ -209,9 +198,14 @@
 	}
 }
 
-func (p *Pool) queue(name job.QueueName) QueueSettings {
-	q, ok := p.queues[name]
-	if !ok || q.MaxAttempts == 0 {
+// settings returns the settings of a job's queue: those in force, or those under which the
+// job was accepted if the queue has been removed since.
+func (p *Pool) settings(j *jobState) QueueSettings {
+	q, ok := p.queues[j.record.Queue]
+	if !ok && j.record.Settings != nil {
+		q = *j.record.Settings
+	}
+	if q.MaxAttempts == 0 {
 		q.MaxAttempts = defaultAttempts
 	}
 	return q
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -162,7 +162,7 @@
 // rank returns a job's rank by its objective and its remaining work. The due time
 // is the latest time at which the remaining work must continue to meet the objective.
 func (p *Pool) rank(now time.Time, j *jobState) rank {
-	q := p.queue(j.record.Queue)
+	q := p.settings(j)
 	if j.record.Spec.Persistent() {
 		return rank{tier: tierPersistent, priority: q.Priority, due: j.record.Accepted}
 	}
--- a/core/pool/ticket.go
+++ b/core/pool/ticket.go
@@ -26,7 +26,7 @@
 // ensureTickets reports whether the step has valid tickets or needs none. If they
 // are missing, it requests them unless a request is pending.
 func (p *Pool) ensureTickets(now time.Time, j *jobState, step *stepState) bool {
-	if !p.queue(j.record.Queue).RequiresTickets {
+	if !p.settings(j).RequiresTickets {
 		return true
 	}
 	key := step.tasks[0].id.StepKey()
@@ -76,7 +76,7 @@
 
 // hasTicket reports whether the task has a valid ticket for the runner or needs none.
 func (p *Pool) hasTicket(t *task, r *runnerState, now time.Time) bool {
-	if !p.queue(t.job.record.Queue).RequiresTickets {
+	if !p.settings(t.job).RequiresTickets {
 		return true
 	}
 	return p.ticket(t.id.StepKey(), r.ID, now) != ""
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -39,7 +39,7 @@
 // stores the jobs that all entries receive, in batches; if it cannot be reached, this
 // entry stores the job itself.
 func (m *Manager) Submit(ctx context.Context, q *catalog.Queue, id job.ID, spec *job.Spec) (SubmitResult, error) {
-	record := &job.Record{Pool: q.Pool, Queue: q.Name, ID: id, Spec: *spec, Accepted: time.Now()}
+	record := &job.Record{Pool: q.Pool, Queue: q.Name, ID: id, Spec: *spec, Accepted: time.Now(), Settings: &q.QueueSettings}
 	value, err := record.Encode()
 	if err != nil {
 		return NotStored, err
