--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -17,6 +17,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -325,6 +326,9 @@
 	return s.row.Claim, true
 }
 
+// Claimed returns all shards that have a claim in the store, in ascending order.
+func (t *Tracker) Claimed() []Shard { return slices.Sorted(maps.Keys(t.observed)) }
+
 // Peers returns the addresses of the other processes that hold claims.
 func (t *Tracker) Peers() []string {
 	var addresses []string
--- a/manager/claims.go
+++ b/manager/claims.go
@@ -152,14 +152,22 @@
 	return rows, nil
 }
 
-// shards returns the fleet's shard and those of all pools, or nil without a
-// configuration.
+// shards returns the fleet's shard and those of all pools, or nil without a configuration. A
+// pool that the configuration no longer has keeps an owner for the jobs that it has left.
 func (m *Manager) shards() []ownership.Shard {
-	pools := m.poolShards()
-	if pools == nil {
+	shards := m.poolShards()
+	if shards == nil {
 		return nil
 	}
-	return append([]ownership.Shard{fleetShard}, pools...)
+	shards = append(shards, fleetShard)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, shard := range m.tracker.Claimed() {
+		if !slices.Contains(shards, shard) {
+			shards = append(shards, shard)
+		}
+	}
+	return shards
 }
 
 // poolShards returns the shards of all pools, or nil without a configuration.
@@ -287,42 +295,6 @@
 	calls.Wait()
 }
 
-// extendInOutage extends this entry's ownerships during an outage of the store, if all other
-// entries report that it is unavailable to them, too.
-func (m *Manager) extendInOutage(ctx context.Context) {
-	m.mu.Lock()
-	oldest, found := m.tracker.OldestRenewal()
-	m.mu.Unlock()
-	q := ownership.Inquiry{SentAt: time.Now(), LastResponse: m.store.LastResponse()}
-	if !found || q.SentAt.Sub(oldest) < ownership.OutageThreshold || q.SentAt.Sub(q.LastResponse) < ownership.OutageThreshold {
-		m.extensionRefusal = ""
-		return
-	}
-	q.Peers = m.allPeers()
-	q.Reports = m.peers.StoreAges(ctx, q.Peers)
-	m.mu.Lock()
-	refusal := m.tracker.Extend(q)
-	m.mu.Unlock()
-	if refusal != m.extensionRefusal {
-		m.logger.Warn("claims are not extended in the outage", "reason", refusal, "storeAge", q.SentAt.Sub(q.LastResponse), "renewedBefore", q.SentAt.Sub(oldest))
-	}
-	m.extensionRefusal = refusal
-}
-
-// allPeers returns the addresses of all other entries as of the last reads of the members and
-// the claims. During an outage, members count as such for as long as it lasts.
-func (m *Manager) allPeers() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	addresses := m.tracker.Peers()
-	for _, member := range m.members.Known() {
-		if member.Address != m.options.Address && !slices.Contains(addresses, member.Address) {
-			addresses = append(addresses, member.Address)
-		}
-	}
-	return addresses
-}
-
 // stopExpiredShards stops the shards whose claims have gone without a renewal for so
 // long that the tracker has given them up.
 func (m *Manager) stopExpiredShards() {
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -169,7 +169,11 @@
 
 // configurationChanged passes the queue settings to all pool owners of this process.
 func (m *Manager) configurationChanged() {
-	settings := m.catalog.Get().QueueSettings()
+	current := m.catalog.Get()
+	m.mu.Lock()
+	m.queuePools.update(time.Now(), current)
+	m.mu.Unlock()
+	settings := current.QueueSettings()
 	for _, o := range m.poolOwners() {
 		o.submit(&pool.QueuesChanged{Queues: settings})
 	}
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -225,20 +225,6 @@
 	}
 }
 
-// Waiting returns the number of the queue's jobs of which no task has started.
-func (m *Manager) Waiting(ctx context.Context, q *catalog.Queue) (int, error) {
-	if o := m.localOwner(q.Pool); o != nil {
-		return o.countWaiting(ctx, q.Name)
-	}
-	address := m.ownerAddress(q.Pool)
-	if address == "" {
-		return 0, errNoOwner
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-	defer cancel()
-	return m.peers.Waiting(ctx, address, q.Pool, q.Name)
-}
-
 func (o *poolOwner) countWaiting(ctx context.Context, queue job.QueueName) (int, error) {
 	n := 0
 	loaded := false
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -128,6 +128,8 @@
 	members *membership.Tracker
 	pools   map[job.PoolName]*poolOwner
 	fleet   *fleetOwner
+	// queuePools holds the pools in which queues may have jobs besides their present ones.
+	queuePools queuePools
 	// registrations and waves are copies of the rows in the shared tables.
 	// registrations is kept while this entry owns a shard, see followRunners.
 	registrations       map[string]registration
