--- a/core/job/state.go
+++ b/core/job/state.go
@@ -27,6 +27,9 @@
 	// At is when the job ended, taken when the outcome is sent to the store. A
 	// repeated write takes a new time.
 	At time.Time `json:"at"`
+	// Guard is true if the outcome only guards against a late write of a job: its caller
+	// cancelled an id under which no job was stored. It is not the outcome of a job.
+	Guard bool `json:"guard,omitempty"`
 }
 
 // Encode returns the JSON encoding for the value of an outcome row.
--- a/manager/conflict.go
+++ b/manager/conflict.go
@@ -49,9 +49,13 @@
 	for _, pending := range batch {
 		row, exists := conflict.Row(pending.key(jobTable))
 		if pending.newJob != nil {
-			if _, ended := conflict.Row(pending.key(outcomeTable)); exists || ended {
+			outcome, ended := conflict.Row(pending.key(outcomeTable))
+			switch {
+			case ended && !exists && pending.replaceGuard(outcome):
+				remaining, progressed = append(remaining, pending), true
+			case exists || ended:
 				pending.reply <- submitReply{result: Stored} // a repeated submission of the same job
-			} else {
+			default:
 				remaining = append(remaining, pending)
 			}
 			continue
@@ -78,6 +82,23 @@
 	return remaining, progressed || len(remaining) < len(batch)
 }
 
+// replaceGuard makes the write of a new job store its outcome if the stored one is a guard: the
+// job was cancelled before it arrived. It returns false if the stored one is not a guard, or the
+// write has replaced that one already.
+func (w *write) replaceGuard(stored table.Row) bool {
+	outcome, err := job.DecodeOutcome(stored.Value)
+	if err != nil || !outcome.Guard {
+		return false
+	}
+	outcome.Guard = false
+	value, err := outcome.Encode()
+	if err != nil {
+		return false
+	}
+	w.value, w.guardVersion = value, stored.Version
+	return true
+}
+
 // resolveEnded reports the stored outcome for a write whose job has already ended.
 func (w *writer) resolveEnded(ctx context.Context, pending *write) {
 	outcome, found, err := readOutcome(ctx, w.store, pending.queue, pending.id)
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return "", err
 	}
-	if !found {
+	if !found || outcome.Guard {
 		return "", ErrUnknownJob
 	}
 	return outcome.State, nil
@@ -187,7 +187,7 @@
 		return false, err
 	}
 	outcomeKey := table.Key{Table: outcomeTable, Part: key.Part, Name: key.Name}
-	outcome := job.Outcome{State: job.Cancelled, At: time.Now()}
+	outcome := job.Outcome{State: job.Cancelled, At: time.Now(), Guard: !found}
 	value, err := outcome.Encode()
 	if err != nil {
 		return true, err
@@ -197,8 +197,14 @@
 	tx.Put(outcomeKey, value)
 	if !found {
 		// A write of the job may still be in flight; the outcome makes it fail.
-		if _, ended, err := readOutcome(ctx, m.store, q.Name, id); err != nil || ended {
-			return err == nil, err
+		stored, ended, err := readOutcome(ctx, m.store, q.Name, id)
+		switch {
+		case err != nil:
+			return false, err
+		case ended && stored.Guard:
+			return true, ErrUnknownJob
+		case ended:
+			return true, nil
 		}
 		tx.Expect(outcomeKey, 0)
 	} else {
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -38,6 +38,9 @@
 	// newJob is set for a new job, whose result is sent to reply.
 	newJob *job.Record
 	reply  chan submitReply
+	// guardVersion is the version of the guard that the outcome of a new job replaces, see
+	// replaceGuard. It is 0 for all other writes.
+	guardVersion table.Version
 	// stage arbitrates between the writer that sends the write and the caller that
 	// withdraws it.
 	stage atomic.Int32
@@ -68,8 +71,12 @@
 func (w *write) addTo(tx *table.Tx) {
 	if w.newJob != nil {
 		tx.Expect(w.key(jobTable), 0)
-		tx.Expect(w.key(outcomeTable), 0)
-		tx.Put(w.key(jobTable), w.value)
+		tx.Expect(w.key(outcomeTable), w.guardVersion)
+		if w.guardVersion > 0 {
+			tx.Put(w.key(outcomeTable), w.value)
+		} else {
+			tx.Put(w.key(jobTable), w.value)
+		}
 		return
 	}
 	tx.Expect(w.key(jobTable), w.version)
@@ -312,7 +319,9 @@
 
 func (w *writer) reportSaved(pending *write, version table.Version) {
 	if pending.newJob != nil {
-		w.sink.submit(&pool.JobStored{Record: pending.newJob, Version: pool.RowVersion(version)})
+		if pending.guardVersion == 0 {
+			w.sink.submit(&pool.JobStored{Record: pending.newJob, Version: pool.RowVersion(version)})
+		}
 		pending.reply <- submitReply{result: Stored}
 		return
 	}
