Do not run an occurrence again that a former owner's clock has begun

Suspicion of the review, by reading: an entry whose clock is behind that of the previous owner dropped the stored progress of occurrences that are not due by its own clock, and acknowledged their ends; the occurrence ran again once it was due.

Change: occurrences of which the stored progress, an end or a run tells have begun, whatever the clock says. TestOccurrenceAheadOfTheClockIsNotRunAgain failed in its three cases before.

--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -117,6 +117,9 @@
 	// finishedOccurrences counts the completed occurrences before the first one in
 	// memory.
 	finishedOccurrences int
+	// begunOccurrences is the number of occurrences that a previous owner is known to have
+	// begun. Its clock may have been ahead of this owner's.
+	begunOccurrences int
 	// started is true once a task of the job is known to have started.
 	started bool
 	// rank is the job's rank as of the last call of rankJobs or insertRanked.
@@ -170,6 +173,7 @@
 	if e.Progress != nil {
 		j.started = true
 		j.finishedOccurrences = e.Progress.FinishedOccurrences
+		j.begunOccurrences = begunOccurrences(e.Progress)
 	}
 	p.addDueOccurrences(now, j)
 	if e.Progress != nil {
@@ -210,7 +214,7 @@
 	limit := max(1, job.MaxTasks/max(1, spec.Tasks()))
 	for n := j.finishedOccurrences + len(j.occurrences); n < spec.Occurrences(); n++ {
 		due := spec.Due(n)
-		if due.After(now) || len(j.occurrences) >= limit {
+		if due.After(now) && n >= j.begunOccurrences || len(j.occurrences) >= limit {
 			break
 		}
 		j.occurrences = append(j.occurrences, newOccurrence(j, n, due))
@@ -219,6 +223,21 @@
 	return added
 }
 
+// addBegunOccurrences adds the occurrences up to the one of which a runner lists a run, although
+// they are not due by this owner's clock.
+func (p *Pool) addBegunOccurrences(now time.Time, j *jobState, number int) {
+	if number < j.begunOccurrences || number >= j.record.Spec.Occurrences() {
+		return
+	}
+	j.begunOccurrences = number + 1
+	if !p.addDueOccurrences(now, j) {
+		return
+	}
+	for _, o := range j.occurrences {
+		p.unblockSteps(now, j, o)
+	}
+}
+
 // newOccurrence returns an occurrence none of whose tasks has run.
 func newOccurrence(j *jobState, number int, due time.Time) *occurrence {
 	o := &occurrence{number: number, due: due}
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -162,6 +162,7 @@
 // handleEnd applies an end and returns the sequence number of the change that must
 // be stored before the end is acknowledged, 0 for none.
 func (p *Pool) handleEnd(now time.Time, r *runnerState, j *jobState, end EndedTask) uint64 {
+	p.addBegunOccurrences(now, j, end.Task.Occurrence)
 	t := j.task(end.Task)
 	if t == nil {
 		return j.seq // the occurrence is done, but that may not be stored yet
@@ -297,6 +298,7 @@
 	if j == nil {
 		return nil
 	}
+	p.addBegunOccurrences(now, j, listedRun.Task.Occurrence)
 	t := j.task(listedRun.Task)
 	if t == nil {
 		return nil
--- a/core/pool/progress.go
+++ b/core/pool/progress.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 
 	"bronzestair/core/job"
 )
@@ -27,6 +29,24 @@
 	}
 }
 
+// begunOccurrences returns the number of occurrences of which the progress has tasks.
+func begunOccurrences(progress *job.Progress) int {
+	begun := progress.FinishedOccurrences
+	count := func(key string) {
+		number, _, _ := strings.Cut(key, ".")
+		if n, err := strconv.Atoi(number); err == nil {
+			begun = max(begun, n+1)
+		}
+	}
+	for key := range progress.Done {
+		count(key)
+	}
+	for key := range progress.Failed {
+		count(key)
+	}
+	return begun
+}
+
 func stepKey(occurrence, step int) string { return fmt.Sprintf("%d.%d", occurrence, step) }
 
 func taskKey(id job.TaskID) string {
