Let no forged registration end a runner

A registration of another writer that names another start time or another runner's address could make the owner take a start that was carried out for refused, or a 421 of the other runner for the end of this one, and start their tasks elsewhere while they ran.

Change: the answer of an incarnation that is taken for a previous one leaves the run to be stopped and listed; a 421 ends a runner only at the address at which it has answered before. TestForgedRegistrationLosesNoTask failed in both cases before.

--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -75,7 +75,9 @@
 	}
 	t.inFlight = false
 	p.startWindow.observe(e.Took, p.options.MaxStartsInFlight)
-	t.orderUnanswered = t.orderUnanswered || result == Unknown
+	// The answer of an incarnation that is taken for a previous one does not show that the run has
+	// ended, as the registration of the current one may be another writer's.
+	t.orderUnanswered = t.orderUnanswered || result == Unknown || result != e.CallResult
 	switch {
 	case t.state == running || t.state == done:
 		// A poll of the runner has already reported a later state.
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -53,7 +53,7 @@
 func (p *Pool) poll(now time.Time, r *runnerState, busy bool) {
 	r.polling = true
 	r.nextAcknowledgment = time.Time{}
-	r.polledAck = r.acknowledge()
+	r.polledAck, r.polledAddress = r.acknowledge(), r.Address
 	effect := &PollRunner{Runner: r.Runner, Fence: p.options.Fence, Acknowledged: r.polledAck, FailedCalls: r.failedCalls}
 	if r.resolved && busy && r.failedCalls == 0 {
 		// The lease of a runner that does not answer is not extended: a call that is
@@ -97,11 +97,17 @@
 		r.nextPoll = now.Add(pollRetryDelay * time.Duration(min(r.failedCalls, maxPollRetryFactor)))
 		return
 	case RefusedOtherIncarnation:
-		if e.CallResult == RefusedOtherIncarnation {
+		switch {
+		case e.CallResult != RefusedOtherIncarnation:
+			r.nextPoll = now
+		case r.answeredAddress != "" && r.answeredAddress != r.polledAddress:
+			// The registration may name the address of another runner.
+			p.emit(&LogDecision{Runner: r.ID, Decision: "runnerNotAtAddress", Reason: r.polledAddress, DataAge: now.Sub(r.lastAnswer)})
+			r.failedCalls++
+			r.nextPoll = now.Add(pollRefusedDelay)
+		default:
 			(&RunnerEnded{Runner: r.ID, Born: r.born}).apply(p, now)
-			return
 		}
-		r.nextPoll = now
 		return
 	default:
 		r.nextPoll = now.Add(pollRefusedDelay)
@@ -111,6 +117,7 @@
 		r.ackedEnd = max(r.ackedEnd, acknowledged)
 	}
 	r.fenced = true
+	r.answeredAddress = r.polledAddress
 	lastEnd := r.handledEnd
 	handled := p.handleEnds(now, r, e.Ended)
 	if len(r.pendingEnds) > 0 && r.handledEnd == lastEnd {
--- a/core/pool/restart_test.go
+++ b/core/pool/restart_test.go
@@ -353,3 +353,35 @@
 		})
 	}
 }
+
+// TestForgedRegistrationLosesNoTask guards against the registration of another writer that names
+// another start time, or the address of another runner: the tasks must not be started elsewhere.
+func TestForgedRegistrationLosesNoTask(t *testing.T) {
+	for title, address := range map[string]string{"start time": "r1", "start time and address": "r9"} {
+		t.Run(title, func(t *testing.T) {
+			h := newRestartHarness(t)
+			h.register(firstBorn)
+			h.confirmStarts(h.storeJob(jobID(2), false, singleTaskStep()))
+			running := []RunningTask{{Task: taskID(2, 0, 0), Run: 1}}
+			h.answer(firstBorn, running)
+			started := h.storeJob(jobID(3), false, singleTaskStep())
+			sent := h.now
+			forged := Runner{ID: "r1", Address: address, Capacity: job.Resources{CPU: 16000, Memory: 65536}, Born: secondBorn}
+			r2 := Runner{ID: "r2", Address: "r2", Capacity: job.Resources{CPU: 16000, Memory: 65536}}
+			h.now = h.now.Add(5 * time.Millisecond)
+			effects := h.send(&RunnersListed{Runners: []Runner{forged, r2}})
+			h.answerPoll("r2", nil, nil)
+			for _, s := range effectsOf[*StartTask](started) {
+				effects = append(effects, h.send(&TaskStarted{Runner: "r1", Task: s.Task, Run: s.Run, CallResult: Done, Sent: sent, Clock: h.clockOf(firstBorn), Born: firstBorn})...)
+			}
+			if address == "r1" {
+				running = append(running, RunningTask{Task: taskID(3, 0, 0), Run: 1})
+				effects = append(effects, h.answer(firstBorn, running)...)
+			} else {
+				effects = append(effects, h.send(&RunnerPolled{Runner: "r1", CallResult: RefusedOtherIncarnation, Sent: h.now})...)
+			}
+			effects = append(effects, h.advance(time.Second)...)
+			want(t, "starts elsewhere", describeStarts(effects), []string(nil))
+		})
+	}
+}
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -96,10 +96,12 @@
 	handledEnd, storedEnd, ackedEnd int64
 
 	// polling is true while a poll awaits its answer, polledAck is the number that it
-	// acknowledges.
-	polling   bool
-	polledAck int64
-	nextPoll  time.Time
+	// acknowledges and polledAddress where it was sent. answeredAddress is where the runner
+	// last answered a poll.
+	polling                        bool
+	polledAck                      int64
+	polledAddress, answeredAddress string
+	nextPoll                       time.Time
 	// nextAcknowledgment is when the runner may be polled before nextPoll to acknowledge
 	// ends that were stored meanwhile, zero if it may not.
 	nextAcknowledgment time.Time
