Watch loops: no false stall of a slow takeover, later stalls reported

Found in the read-through: a takeover of several shards through a slow store may take longer than the stall threshold in one iteration, and a pool that stalls after another was not given up.

--- a/manager/claims.go
+++ b/manager/claims.go
@@ -79,6 +79,7 @@
 func (m *Manager) takeOverReleased(ctx context.Context) {
 	m.readClaims(ctx)
 	for range releasedPolls {
+		m.claimsProgress.record()
 		m.writeClaims(ctx)
 		sleep(ctx, releasedPollInterval)
 	}
@@ -248,6 +249,7 @@
 // writeClaim commits a claim on the condition that its row is unchanged, and returns
 // the new version.
 func (m *Manager) writeClaim(ctx context.Context, w ownership.Write) (ownership.Version, error) {
+	defer m.claimsProgress.record()
 	value, err := json.Marshal(w.Claim)
 	if err != nil {
 		return 0, err
--- a/manager/watchdog.go
+++ b/manager/watchdog.go
@@ -12,8 +12,8 @@
 const (
 	loopCheckInterval = 1 * time.Second
 	// stallThreshold is the time without progress after which a loop counts as stalled. The
-	// loops wake at least every 300 ms; a call to the store in the loop that maintains claims
-	// takes up to some seconds.
+	// loops wake at least every 300 ms; one call to the store, through several peers, takes up
+	// to some seconds.
 	stallThreshold = 8 * time.Second
 	// maxStackBytes bounds the stacks that are logged once for each stall.
 	maxStackBytes = 64 << 10
@@ -41,34 +41,36 @@
 	defer ticker.Stop()
 	owners := make(chan []*poolOwner, 1)
 	var known, stalled []*poolOwner
-	stalledChecks := 0
+	listing := false
+	// checks counts the checks in a row that found a stalled loop, reported the stalled pools
+	// that were given up.
+	checks, reported := 0, 0
 	lastCheck := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case known = <-owners:
+			listing = false
 			continue
 		case <-ticker.C:
 		}
 		// After a pause of the whole process, its loops get time to go on.
 		paused := time.Since(lastCheck) > 3*loopCheckInterval
 		lastCheck = time.Now()
-		go func() {
-			list := m.poolOwners()
-			select {
-			case owners <- list:
-			default: // an earlier list is not yet read
-			}
-		}()
+		if !listing {
+			listing = true
+			go func() { owners <- m.poolOwners() }() // may wait for the lock
+		}
 		stalled = m.stalledPools(append(stalled, known...)) // also those that were given up
 		if paused || !m.claimsProgress.stalled() && len(stalled) == 0 {
-			stalledChecks = 0
+			checks, reported = 0, 0
 			m.stalled.Store(false)
 			continue
 		}
-		stalledChecks++
-		if stalledChecks == 2 {
+		checks++
+		if checks == 2 || checks > 2 && len(stalled) > reported {
+			reported = len(stalled)
 			m.reportStall(stalled)
 		}
 	}
