--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,6 +25,7 @@
 var scenes = map[string]func(rec *record, trouble bool) (verdict, error){
 	"crashes":     crashes,
 	"reservation": reservation,
+	"waves":       waves,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -51,6 +51,7 @@
 	cpu, memory          int
 
 	mu      sync.Mutex
+	gone    bool // the machine was taken down
 	fence   uint64
 	until   time.Duration // on the runner's clock
 	running map[string]*run
@@ -87,6 +88,13 @@
 // report registers the runner in the store at each heartbeat.
 func (r *runner) report() {
 	for {
+		r.mu.Lock()
+		gone := r.gone
+		r.mu.Unlock()
+		if gone {
+			r.world.store.write("servers", r.id, nil)
+			return
+		}
 		r.world.store.write("servers", r.id, map[string]any{
 			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready",
 			"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": r.cpu, "mem_mb": r.memory, "gpu": 0},
@@ -101,6 +109,10 @@
 	for {
 		time.Sleep(5 * time.Millisecond)
 		r.mu.Lock()
+		if r.gone {
+			r.mu.Unlock()
+			return
+		}
 		for _, u := range r.running {
 			worked := time.Since(u.began)
 			switch {
@@ -154,6 +166,10 @@
 			return
 		}
 		r.mu.Lock()
+		if r.gone {
+			r.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
 		if o.Fence >= r.fence {
 			r.fence = o.Fence
@@ -165,6 +181,17 @@
 	}
 }
 
+// takeDown ends the runner and all that runs on it.
+func (r *runner) takeDown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = true
+	for _, u := range r.running {
+		r.world.record.ended(r, u, "lost with its machine")
+	}
+	r.running = nil
+}
+
 // extend extends the lease of all that runs here. The caller holds the lock, also below.
 func (r *runner) extend(untilMS int64) {
 	r.until = max(r.until, min(time.Duration(untilMS)*time.Millisecond, r.clock()+maxLease))
@@ -225,7 +252,7 @@
 		r.extend(o.UntilMS)
 	}
 	timeout := time.After(time.Duration(o.WaitMS) * time.Millisecond)
-	for waiting := o.WaitMS > 0; waiting && len(r.ended) == 0; {
+	for waiting := o.WaitMS > 0; waiting && len(r.ended) == 0 && !r.gone; {
 		changed := r.changed
 		r.mu.Unlock()
 		select {
--- a/review/standin-2/scenes.go
+++ b/review/standin-2/scenes.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 )
 
@@ -9,8 +11,10 @@
 	runnerCPU    = 16000
 	runnerMemory = 65536
 	// A work unit that fails does so between minLife and maxLife after its start.
-	minLife                   = 1 * time.Second
-	maxLife                   = 10 * time.Second
+	minLife = 1 * time.Second
+	maxLife = 10 * time.Second
+	// waveDelay is how long services run before waves are sent.
+	waveDelay                 = 3 * time.Second
 	services, unitsPerService = 10, 6
 	// shortJobs is the number of short submissions, of which the last ten come late.
 	shortJobs = 60
@@ -18,9 +22,9 @@
 	readyTimeout = 25 * time.Second
 )
 
-// newDeployment starts three entries and a pool of three runners, and waits until they serve.
-func newDeployment(rec *record) (*world, error) {
-	w, err := newWorld(rec, 3, runnerCPU, runnerMemory)
+// newDeployment starts three entries and a pool of runners, and waits until they serve.
+func newDeployment(rec *record, runners int) (*world, error) {
+	w, err := newWorld(rec, runners, runnerCPU, runnerMemory)
 	if err != nil {
 		return nil, err
 	}
@@ -38,7 +42,7 @@
 // crashes plays lasting submissions whose work units fail now and then, and are to be
 // started again.
 func crashes(rec *record, trouble bool) (verdict, error) {
-	w, err := newDeployment(rec)
+	w, err := newDeployment(rec, 3)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -72,7 +76,7 @@
 
 // reservation plays lasting submissions that fit beside no other one, and then short ones.
 func reservation(rec *record, trouble bool) (verdict, error) {
-	w, err := newDeployment(rec)
+	w, err := newDeployment(rec, 3)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -107,3 +111,54 @@
 	rec.note("states at the end: %v", counts)
 	return watch.verdict(shortJobs), nil
 }
+
+// waves plays three waves of upkeep at a time, each of a third of a pool, while lasting and
+// short work goes on.
+func waves(rec *record, trouble bool) (verdict, error) {
+	const machines = 6
+	w, err := newDeployment(rec, machines)
+	if err != nil {
+		return verdict{}, err
+	}
+	defer w.stop()
+	for n := range 2 {
+		// One work unit of each service fails once, a second after the waves were sent.
+		failing := fmt.Sprintf(".0.0.%d", 3-2*n)
+		w.submit(&submission{id: newID(), what: "service", steps: []*step{{
+			Count: machines, CPU: 1000, MemMB: 2048, EstRuntime: 1000, Persistent: true, MayMiss: 1, MaxPerSrv: 1,
+			fails: func(unit string, run int) time.Duration {
+				if run > 1 || !strings.HasSuffix(unit, failing) {
+					return 0
+				}
+				return waveDelay + time.Second
+			},
+		}}}, 4)
+	}
+	time.Sleep(waveDelay)
+	if trouble {
+		for n := range 3 {
+			w.sendWave(n+1, []string{w.machines[2*n].name, w.machines[2*n+1].name}, 25*time.Second, 1)
+		}
+	}
+	watch := &idleWatch{world: w}
+	began := time.Now()
+	var ended time.Time
+	submissions := 0
+	for time.Since(began) < 60*time.Second {
+		if time.Since(began) < 20*time.Second {
+			st := &step{Count: 2, CPU: 500, MemMB: 256, EstRuntime: 300, takes: 300 * time.Millisecond}
+			w.submit(&submission{id: newID(), what: "short", steps: []*step{st}}, 4)
+			submissions++
+			ended = time.Now()
+		}
+		time.Sleep(100 * time.Millisecond)
+		watch.lasting()
+		if time.Since(ended) > finishTime {
+			watch.waiting()
+		}
+	}
+	for n := range 3 {
+		rec.note("status/wave/%d: %s", n+1, w.store.value("status", fmt.Sprintf("wave/%d", n+1)))
+	}
+	return watch.verdict(2*machines + submissions), nil
+}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -73,6 +73,13 @@
 	s.changed = make(chan struct{})
 }
 
+// value returns the value of a row in the part with the empty name, or "".
+func (s *store) value(table, key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.rows[rowName{table, "", key}].Value)
+}
+
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.commit)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -57,7 +57,10 @@
 // machine is a machine of a pool.
 type machine struct {
 	name, service, zone, rack string
+	state                     string
 	runner                    *runner
+	// waves holds the waves in which the machine has begun its upkeep.
+	waves map[int]bool
 }
 
 // world is a small deployment: a store, the list of machines, runners, and entries.
@@ -71,6 +74,7 @@
 
 	mu          sync.Mutex
 	machines    []*machine
+	lastRunner  int
 	submissions map[string]*submission
 }
 
@@ -85,6 +89,9 @@
 
 const service = "booking"
 
+// upkeepTime is how long a machine is down for its upkeep, upkeep_s.
+const upkeepTime = 2 * time.Second
+
 // newWorld starts the stand-ins of a deployment with one pool of runners.
 func newWorld(rec *record, runners, cpu, memory int) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-")
@@ -104,9 +111,8 @@
 		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	for n := range runners {
-		m := &machine{name: fmt.Sprintf("m%d", n+1), service: service, zone: zones[n%len(zones)], rack: fmt.Sprintf("r%d", n+1)}
-		m.runner = &runner{world: w, id: fmt.Sprintf("run-%d", n+1), machine: m.name, service: service, zone: m.zone, rack: m.rack, cpu: cpu, memory: memory}
-		if err := m.runner.start(); err != nil {
+		m := &machine{name: fmt.Sprintf("m%d", n+1), service: service, zone: zones[n%len(zones)], rack: fmt.Sprintf("r%d", n/4+1), waves: map[int]bool{}}
+		if err := w.startRunner(m, cpu, memory); err != nil {
 			return nil, err
 		}
 		w.machines = append(w.machines, m)
@@ -114,6 +120,57 @@
 	return w, nil
 }
 
+// startRunner starts a runner on a machine.
+func (w *world) startRunner(m *machine, cpu, memory int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastRunner++
+	m.runner = &runner{world: w, id: fmt.Sprintf("run-%d", w.lastRunner), machine: m.name, service: m.service, zone: m.zone, rack: m.rack, cpu: cpu, memory: memory}
+	m.state = "up"
+	return m.runner.start()
+}
+
+// upkeep serves POST /machine-upkeep.
+func (w *world) upkeep(out http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Machine string `json:"machine"`
+		Wave    int    `json:"wave"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		respond(out, http.StatusBadRequest, map[string]string{})
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := slices.IndexFunc(w.machines, func(m *machine) bool { return m.name == o.Machine })
+	if n < 0 {
+		respond(out, http.StatusBadRequest, map[string]string{})
+		return
+	}
+	m := w.machines[n]
+	switch {
+	case m.waves[o.Wave]:
+	case m.state != "up":
+		respond(out, http.StatusConflict, map[string]string{"reason": "busy"})
+		return
+	default:
+		w.record.note("upkeep of %s (%s), wave %d", m.name, m.runner.id, o.Wave)
+		m.waves[o.Wave], m.state = true, "upkeep"
+		m.runner.takeDown()
+		cpu, memory := m.runner.cpu, m.runner.memory
+		time.AfterFunc(upkeepTime, func() { _ = w.startRunner(m, cpu, memory) })
+	}
+	respond(out, http.StatusOK, map[string]string{})
+}
+
+// sendWave asks for the upkeep of machines.
+func (w *world) sendWave(number int, machines []string, duration time.Duration, atOnce int) {
+	w.record.note("wave %d: %v", number, machines)
+	w.store.write("op", fmt.Sprintf("wave/%d", number), map[string]any{
+		"wave": number, "machines": machines, "duration_s": duration.Seconds(), "max_count": atOnce,
+	})
+}
+
 // serve serves a handler on a free port and returns its address.
 func serve(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -124,14 +181,14 @@
 	return l.Addr().String(), nil
 }
 
-// listMachines serves GET /machines. No machine is ever moved or due for upkeep.
+// listMachines serves GET /machines.
 func (w *world) listMachines(out http.ResponseWriter, _ *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list := []any{}
 	for _, m := range w.machines {
 		list = append(list, map[string]any{
-			"machine": m.name, "pool": m.service, "state": "up", "zone": m.zone, "labels": []string{"a", m.rack},
+			"machine": m.name, "pool": m.service, "state": m.state, "zone": m.zone, "labels": []string{"a", m.rack},
 			"capacity": map[string]int{"cpu": m.runner.cpu, "mem_mb": m.runner.memory, "gpu": 0}, "id": m.runner.id,
 		})
 	}
@@ -166,6 +223,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", w.listMachines)
+	mux.HandleFunc("POST /machine-upkeep", w.upkeep)
 	cloudAddress, err := serve(mux)
 	if err != nil {
 		return err
