--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -229,7 +229,7 @@
 		return err
 	}
 	for i := range n {
-		ip := fmt.Sprintf("127.0.0.%d", 11+i)
+		ip := fmt.Sprintf("127.0.0.%d", 101+i)
 		port, err := freePorts(ip, 4)
 		if err != nil {
 			return err
