--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bronzestair-entry ] && [ -x target/review-2/scene ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec timeout --signal=TERM 118 target/review-2/scene crashes review/8/record.txt
+exec timeout --preserve-status --signal=TERM 118 target/review-2/scene crashes review/8/record.txt
