Backfill reserved runners, and reserve only room that can come free

Three persistent jobs waited for room, and short jobs that were accepted after them never started, with an eighth of the pool in use.

Cause: reserveRunner took a runner off the usable ones for each step with a persistent task that fitted nowhere, in every dispatch. It asked neither whether the room could come free, nor whether room was what the task lacked, nor how many runners were kept, for how long, and for whom else they were the only place. Gangs had the opposite fault: nothing was kept for one.

Ruled out: ejection and cordons (no failed run, no wave in the record), a lost start (none was sent), delegates (they only send orders).

A persistent task without any other place takes reserved room.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,12 +23,13 @@
 
 // dispatch places as many ready tasks as fit, in the order of their jobs' ranks.
 func (p *Pool) dispatch(now time.Time) {
+	p.reviewReservations(now)
 	candidates := p.candidates(now)
 	if len(candidates) == 0 {
 		return
 	}
 	usable := p.usableRunners(now)
-	largest := maxFree(usable)
+	largest := maxOpenRoom(now, usable)
 	for _, j := range candidates {
 		if len(usable) == 0 || p.startWindowFull() {
 			return
@@ -38,13 +38,14 @@
 			for _, step := range o.steps {
 				// In an overloaded pool most steps fit on no runner, so the scan of all
 				// runners is skipped.
-				if step.ready == 0 || (!step.spec.Persistent && !largest.HasRoomFor(step.spec.Demand())) || !p.mayStart(now, j, step) {
+				reserves := step.spec.Persistent || step.spec.Gang
+				if step.ready == 0 || (!reserves && !largest.HasRoomFor(step.spec.Demand())) || !p.mayStart(now, j, step) {
 					continue
 				}
 				before := step.ready
-				p.placeStep(now, j, step, &usable)
+				p.placeStep(now, j, step, usable)
 				if step.ready < before {
-					largest = maxFree(usable)
+					largest = maxOpenRoom(now, usable)
 				}
 			}
 		}
@@ -58,11 +59,11 @@
 	return float64(p.startsInFlight) >= p.startWindow.bound(p.options.MaxStartsInFlight)
 }
 
-// maxFree returns the largest free amount of each resource on any of the runners.
-func maxFree(runners []*runnerState) job.Resources {
+// maxOpenRoom returns the largest open amount of each resource on any of the runners.
+func maxOpenRoom(now time.Time, runners []*runnerState) job.Resources {
 	var largest job.Resources
 	for _, r := range runners {
-		free := r.free()
+		free := r.openRoom(now)
 		largest.CPU = max(largest.CPU, free.CPU)
 		largest.Memory = max(largest.Memory, free.Memory)
 		largest.GPU = max(largest.GPU, free.GPU)
@@ -81,12 +82,12 @@
 }
 
 // placeStep starts the ready tasks of a step as far as capacity permits.
-func (p *Pool) placeStep(now time.Time, j *jobState, step *stepState, usable *[]*runnerState) {
+func (p *Pool) placeStep(now time.Time, j *jobState, step *stepState, usable []*runnerState) {
 	if !p.ensureTickets(now, j, step) {
 		return
 	}
 	if step.spec.Gang {
-		p.placeGang(now, step, *usable)
+		p.placeGang(now, step, usable)
 		return
 	}
 	var placements placementLog
@@ -96,11 +97,11 @@
 		if t.state != ready {
 			continue
 		}
-		r := p.chooseRunner(now, t, *usable)
+		r := p.chooseRunner(now, t, usable)
+		if r == nil && step.spec.Persistent {
+			r = p.waitForRoom(now, t, usable)
+		}
 		if r == nil {
-			if step.spec.Persistent {
-				*usable = p.reserveRunner(t, *usable)
-			}
 			return
 		}
 		if p.startWindowFull() {
@@ -140,23 +141,11 @@
 	}
 }
 
-// reserveRunner excludes the eligible runner with the most free memory from further
-// placements, to keep it for a persistent task that does not fit anywhere yet.
-func (p *Pool) reserveRunner(t *task, usable []*runnerState) []*runnerState {
-	var best *runnerState
-	for _, r := range usable {
-		if !r.Capacity.HasRoomFor(t.step.spec.Demand()) || !p.meetsConstraints(t, r) {
-			continue
-		}
-		if best == nil || r.free().Memory > best.free().Memory {
-			best = r
-		}
-	}
-	return slices.DeleteFunc(slices.Clone(usable), func(r *runnerState) bool { return r == best })
-}
-
 // startTask assigns a task to a runner and sends the start order.
 func (p *Pool) startTask(now time.Time, t *task, r *runnerState, run int) {
+	if res := t.step.reservation; res != nil {
+		p.endReservation(now, res, "placed", 0)
+	}
 	t.addReady(-1)
 	t.state = starting
 	t.run = run
@@ -172,7 +161,7 @@
 	var best *runnerState
 	var bestScore placementScore
 	for _, r := range usable {
-		if !r.free().HasRoomFor(t.step.spec.Demand()) || !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) {
+		if !r.free().HasRoomFor(t.step.spec.Demand()) || !r.respectsReservation(now, t) || !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) {
 			continue
 		}
 		s := p.score(t, r)
--- a/core/pool/gang.go
+++ b/core/pool/gang.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"bronzestair/core/job"
@@ -18,8 +19,10 @@
 		}
 		run = max(run, t.nextRun())
 	}
-	runners := p.fitGang(now, step, usable)
+	open := slices.DeleteFunc(slices.Clone(usable), func(r *runnerState) bool { return r.reservedForOther(step) })
+	runners := p.fitGang(now, step, open, (*runnerState).free)
 	if runners == nil {
+		p.reserveForGang(now, step, usable)
 		return
 	}
 	checkpoint := step.tasks[0].checkpoint
@@ -38,28 +41,32 @@
 	placements.flush(p, now, step.tasks[0].job, step)
 }
 
-// fitGang returns a runner for each member, or nil if they do not all fit. If tasks of
-// the step run longer when spread over racks, it prefers a rack with room for all.
-func (p *Pool) fitGang(now time.Time, step *stepState, usable []*runnerState) []*runnerState {
+// fitGang returns a runner for each member, or nil if they do not all fit in the room that
+// the runners have. If tasks of the step run longer when spread over racks, it prefers a
+// rack with room for all.
+func (p *Pool) fitGang(now time.Time, step *stepState, usable []*runnerState, room func(*runnerState) job.Resources) []*runnerState {
 	if step.spec.SameRack {
 		racks := map[string][]*runnerState{}
 		for _, r := range usable {
 			racks[r.Rack()] = append(racks[r.Rack()], r)
 		}
 		for _, r := range usable {
-			if runners := p.firstFit(now, step, racks[r.Rack()]); runners != nil {
+			if runners := p.firstFit(now, step, racks[r.Rack()], room); runners != nil {
 				return runners
 			}
 		}
 	}
-	return p.firstFit(now, step, usable)
+	return p.firstFit(now, step, usable, room)
 }
 
 // firstFit returns for each member the first runner that has room for it beside the
 // members before, or nil if they do not all fit.
-func (p *Pool) firstFit(now time.Time, step *stepState, usable []*runnerState) []*runnerState {
+func (p *Pool) firstFit(now time.Time, step *stepState, usable []*runnerState, room func(*runnerState) job.Resources) []*runnerState {
 	demand := step.spec.Demand()
-	taken := map[*runnerState]job.Resources{}
+	left := make(map[*runnerState]job.Resources, len(usable))
+	for _, r := range usable {
+		left[r] = room(r)
+	}
 	count := map[*runnerState]int{}
 	runners := make([]*runnerState, 0, len(step.tasks))
 	for i := range step.tasks {
@@ -67,7 +74,7 @@
 		var chosen *runnerState
 		for _, r := range usable {
 			limit := step.spec.MaxPerInstance
-			if !r.free().Sub(taken[r]).HasRoomFor(demand) || (limit > 0 && count[r] >= limit) ||
+			if !left[r].HasRoomFor(demand) || (limit > 0 && count[r] >= limit) ||
 				!p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) {
 				continue
 			}
@@ -77,7 +84,7 @@
 		if chosen == nil {
 			return nil
 		}
-		taken[chosen] = taken[chosen].Add(demand)
+		left[chosen] = left[chosen].Sub(demand)
 		count[chosen]++
 		runners = append(runners, chosen)
 	}
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -90,6 +90,7 @@
 	remaining int
 	ready     int
 	unblocked bool
+	reservable
 }
 
 // occurrence is one pass through a job's steps. A repeated job has several.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -129,8 +129,9 @@
 	endedRunners map[RunnerID]endedRunner
 
 	// rankedAt is when the jobs were last ranked, ranked holds them in this order.
-	rankedAt time.Time
-	ranked   []*jobState
+	rankedAt     time.Time
+	ranked       []*jobState
+	reservations []*reservation
 	// steppedDown is true once this ownership has ended. Reduce then ignores events.
 	steppedDown bool
 	// startsInFlight counts the starts that await their answer, startWindow limits them.
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -115,6 +115,7 @@
 	// backoffUntil is when the runner may get tasks again after it refused a start.
 	backoffUntil time.Time
 	health       runnerHealth
+	reservable
 	// lastListed is when the runner last listed its tasks, unreachableSince when the
 	// first call after that failed without an answer.
 	lastListed, unreachableSince time.Time
