Limit cordons over all waves, and evacuate without holding budgets

Persistent tasks that had failed were not started again, and waves of upkeep stood still, with the pool under half in use.

Cause: each wave counted only its own cordons against the third of a pool that may be cordoned; the persistent tasks of a runner were stopped one by one, so that two evacuations could each hold a disruption budget that the other one waited for (one wave of two runners is enough); and a cordon was absolute for a task that no other runner could ever hold, while the drain depended on that task. Nothing ended a cordon but the drain itself.

Ruled out: ejection (one failure of each service), a slow instance API (no order was sent).

Change: waves, upkeeps in progress, draining and ejected runners share one limit, and moves leave the pool its minimum beside them. Tasks without another place are stopped all at once or not at all, on a runner that shuts down never. A persistent task without any other place starts on a cordoned runner that is not drained yet. The reports of pools say which runners are withheld (a field of SyncReply).

Conclusion: no part of the system holds a budget or a cordon while it waits for another one, and whatever is withheld has a limit and an end.

--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -122,22 +122,19 @@
 	// listPending is true while a request for the list awaits its answer.
 	listPending bool
 	// nextList is the earliest time for the next request.
-	nextList     time.Time
-	waves        map[WaveNumber]*waveState
-	orders       map[InstanceID]*pendingOrder
-	cordons      map[InstanceID]cordon
-	reports      map[job.PoolName]poolReport
-	pools        map[job.PoolName]PoolSettings
-	peaks        map[job.PoolName]peak
-	surplusSince map[job.PoolName]time.Time
-	effects      []Effect
-}
-
-// cordon marks an instance that is being drained for a move or an upkeep.
-type cordon struct {
-	cordonedAt time.Time
-	// destination is the destination pool of a move; it is empty for an upkeep.
-	destination job.PoolName
+	nextList time.Time
+	waves    map[WaveNumber]*waveState
+	orders   map[InstanceID]*pendingOrder
+	cordons  map[InstanceID]cordon
+	// cordonPauses holds until when an instance is not cordoned again.
+	cordonPauses map[InstanceID]time.Time
+	// withheld and cordonLimits are by pool, see countWithheld.
+	withheld, cordonLimits map[job.PoolName]int
+	reports                map[job.PoolName]poolReport
+	pools                  map[job.PoolName]PoolSettings
+	peaks                  map[job.PoolName]peak
+	surplusSince           map[job.PoolName]time.Time
+	effects                []Effect
 }
 
 // poolReport is the latest report of a pool and when it was received.
@@ -164,6 +161,9 @@
 		waves:        map[WaveNumber]*waveState{},
 		orders:       map[InstanceID]*pendingOrder{},
 		cordons:      map[InstanceID]cordon{},
+		cordonPauses: map[InstanceID]time.Time{},
+		withheld:     map[job.PoolName]int{},
+		cordonLimits: map[job.PoolName]int{},
 		reports:      map[job.PoolName]poolReport{},
 		pools:        map[job.PoolName]PoolSettings{},
 		peaks:        map[job.PoolName]peak{},
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -48,6 +48,8 @@
 type balance struct {
 	name       job.PoolName
 	need, have int
+	// minimum is the least number of instances that must accept tasks.
+	minimum int
 	// committed is the need without forecast work: for running and ready tasks with a
 	// margin, and at least the pool's minimum, which includes the reserve for spread steps.
 	committed int
@@ -58,6 +60,12 @@
 // committedDeficit returns the deficit without forecast work.
 func (b balance) committedDeficit() int { return b.committed - b.have }
 
+// spareable returns how many instances a pool can give up, given a surplus: it keeps its
+// minimum beside the instances that waves withhold.
+func (p *Planner) spareable(b balance, surplus int) int {
+	return min(surplus, b.have-p.withheld[b.name]-b.minimum)
+}
+
 // peak is a pool's need in instances that is kept for peakHoldTime unless a higher one
 // is observed.
 type peak struct {
@@ -124,7 +132,7 @@
 		if now.Sub(p.surplusSince[b.name]) < surplusDelay {
 			continue
 		}
-		for range b.have - limit {
+		for range p.spareable(b, b.have-limit) {
 			if !p.cordonFrom(now, b.name, p.furthestBelowBaseline(balances, spare)) {
 				break
 			}
@@ -153,7 +161,7 @@
 			continue
 		}
 		runner := p.runner(instance)
-		if _, cordoned := p.cordons[id]; cordoned || runner == nil || !runner.Known || runner.Persistent > 0 || runner.Passing > 0 {
+		if _, cordoned := p.cordons[id]; cordoned || p.pausesCordon(now, id) || runner == nil || !runner.Known || runner.Persistent > 0 || runner.Passing > 0 {
 			continue
 		}
 		p.cordons[id] = cordon{cordonedAt: now, destination: destination}
@@ -198,7 +206,7 @@
 		minimum = max(minimum, report.Spread+spreadReserve)
 	}
 	committed := max(minimum, committedInstances+marginInstances)
-	return balance{name: report.Pool, committed: committed, need: p.updatePeak(now, report, max(committed, forecastInstances+marginInstances))}
+	return balance{name: report.Pool, minimum: minimum, committed: committed, need: p.updatePeak(now, report, max(committed, forecastInstances+marginInstances))}
 }
 
 // updatePeak returns the need of a pool to plan with. That is the last peak, until the
@@ -293,13 +301,13 @@
 func (p *Planner) cordonOneFor(now time.Time, destination job.PoolName, balances []balance, deficit func(balance) int) bool {
 	surplus := map[job.PoolName]int{}
 	for _, b := range balances {
-		surplus[b.name] = -deficit(b)
+		surplus[b.name] = p.spareable(b, -deficit(b))
 	}
 	var best *Instance
 	lowestCost := 0
 	for _, id := range p.instanceOrder {
 		instance := p.instances[id]
-		cost, ok := p.moveCost(instance, destination, surplus)
+		cost, ok := p.moveCost(now, instance, destination, surplus)
 		if ok && (best == nil || cost < lowestCost) {
 			best, lowestCost = &instance, cost
 		}
@@ -318,11 +326,11 @@
 
 // moveCost returns the cost of moving an instance to a pool, and whether it may be
 // moved. The cost is 0 for spare instances and grows with the CPU in use otherwise.
-func (p *Planner) moveCost(i Instance, destination job.PoolName, surplus map[job.PoolName]int) (int, bool) {
+func (p *Planner) moveCost(now time.Time, i Instance, destination job.PoolName, surplus map[job.PoolName]int) (int, bool) {
 	if i.State != Up || i.Pool == destination || p.orders[i.ID] != nil {
 		return 0, false
 	}
-	if _, cordoned := p.cordons[i.ID]; cordoned {
+	if _, cordoned := p.cordons[i.ID]; cordoned || p.pausesCordon(now, i.ID) {
 		return 0, false
 	}
 	if p.pools[i.Pool].Spare {
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"bronzestair/core/job"
 	"bronzestair/core/pool"
 )
 
@@ -35,9 +34,6 @@
 	// waveTimeFraction is the fraction of a wave's duration in which it is planned to
 	// finish.
 	waveTimeFraction = 0.6
-	// poolCordonDivisor limits how many instances of a pool a wave cordons at once: one
-	// in poolCordonDivisor, but at least one.
-	poolCordonDivisor = 3
 )
 
 // The states of a wave as reported to the operator.
@@ -147,6 +143,8 @@
 	if p.listRequestedAt.IsZero() {
 		return
 	}
+	p.liftBlockedCordons(now)
+	p.countWithheld()
 	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
 		p.planWave(now, p.waves[number])
 	}
@@ -188,7 +186,6 @@
 	}
 	limit := w.unavailableLimit(now, len(pending))
 	room := limit - p.countInProgress(w, func(*pendingOrder) bool { return true })
-	cordoned := map[job.PoolName]int{}
 	cordonBudget := room + limit
 	for _, instance := range pending {
 		if p.orders[instance.ID] != nil {
@@ -197,7 +194,7 @@
 		if cordonBudget <= 0 {
 			break
 		}
-		if !p.cordonForWave(now, w, instance, cordoned) {
+		if !p.cordonForWave(now, instance) {
 			continue
 		}
 		cordonBudget--
@@ -257,26 +254,6 @@
 	return p.reports[i.Pool].byRunner[i.Runner]
 }
 
-// cordonForWave cordons an instance, unless it is not up or the wave has cordoned too
-// much of its pool, and reports whether the instance may be drained for the wave.
-// Instances of spare pools need no cordon.
-func (p *Planner) cordonForWave(now time.Time, w *waveState, i Instance, cordoned map[job.PoolName]int) bool {
-	if i.State != Up {
-		return false
-	}
-	if p.pools[i.Pool].Spare {
-		return true
-	}
-	if cordoned[i.Pool] >= max(1, len(p.reports[i.Pool].Runners)/poolCordonDivisor) {
-		return false
-	}
-	cordoned[i.Pool]++
-	if _, ok := p.cordons[i.ID]; !ok {
-		p.cordons[i.ID] = cordon{cordonedAt: now}
-	}
-	return true
-}
-
 // safeToOrder reports whether no previous owner can have given the instance an order
 // within the handover delay. An order ends the instance's runner, so a runner that
 // started more than the delay before the change of owner rules one out.
@@ -378,22 +355,3 @@
 func (p *Planner) saveWave(w *waveState) {
 	p.emit(&SaveWave{Wave: w.Number, Begun: slices.Sorted(maps.Keys(w.begun)), Completed: w.reportedState == waveCompleted})
 }
-
-// Cordons returns the runners that the owner of each pool must give no tasks: those to be
-// drained, and those whose end was ordered, until the owner is notified of the end.
-func (p *Planner) Cordons() map[job.PoolName][]pool.RunnerID {
-	out := map[job.PoolName][]pool.RunnerID{}
-	for id, o := range p.orders {
-		if _, cordoned := p.cordons[id]; !cordoned && !o.runnerEnded {
-			out[o.from] = append(out[o.from], o.runner)
-		}
-	}
-	for id := range p.cordons {
-		instance, ok := p.instances[id]
-		if !ok {
-			continue
-		}
-		out[instance.Pool] = append(out[instance.Pool], instance.Runner)
-	}
-	return out
-}
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -31,7 +31,7 @@
 	usable := p.usableRunners(now)
 	largest := maxOpenRoom(now, usable)
 	for _, j := range candidates {
-		if len(usable) == 0 || p.startWindowFull() {
+		if p.startWindowFull() {
 			return
 		}
 		for _, o := range j.occurrences {
--- a/core/pool/drain.go
+++ b/core/pool/drain.go
@@ -1,37 +1,73 @@
 package pool
 
 import (
+	"slices"
 	"time"
 )
 
 // drainRunners stops the persistent tasks on cordoned and draining runners as far as
 // the disruption budgets of their steps permit. Batch tasks run to their end.
+//
+// A task that has a place elsewhere is stopped by itself, as it soon serves again. The others
+// give their budget back only after the upkeep. They are stopped all at once or not at all:
+// otherwise two runners could each wait for the budget that the other one's evacuation holds.
 func (p *Pool) drainRunners(now time.Time) {
 	for _, r := range p.runnerOrder {
 		if !r.cordoned && !r.Draining {
 			continue
 		}
+		var remaining []*task
 		for _, t := range r.tasksByID { // not modified by stopTask, which releases nothing
-			if t.step.spec.Persistent && t.state == running && p.withinDisruptionBudget(now, t) {
+			switch {
+			case !t.lasts():
+			case t.state == running && p.hasOtherPlace(now, t) && p.withinDisruptionBudget(now, t):
 				p.stopTask(now, t, "evacuation")
+			default:
+				remaining = append(remaining, t)
+			}
+		}
+		// A draining runner need not be empty, so that its tasks may serve until it leaves.
+		if !r.Draining && p.mayInterrupt(now, remaining) {
+			for _, t := range remaining {
+				p.stopTask(now, t, "evacuation without another place")
 			}
 		}
 	}
 }
 
+// hasOtherPlace reports whether a persistent task could run on another usable runner, at the
+// latest when the batch tasks there have ended. Tickets are not considered, as a step requests
+// them again for its next placement.
+func (p *Pool) hasOtherPlace(now time.Time, t *task) bool {
+	return slices.ContainsFunc(p.runnerOrder, func(r *runnerState) bool {
+		return r != t.runner && r.usable(now) && !r.reservedForOther(t.step) && p.meetsConstraints(t, r) && r.canHold(t)
+	})
+}
+
 // withinDisruptionBudget reports whether planned work may interrupt a persistent
 // task now.
 func (p *Pool) withinDisruptionBudget(now time.Time, t *task) bool {
-	if t.step.spec.DisruptionBudget == 0 {
-		return true
-	}
-	unavailable := 0
-	for i := range t.step.tasks {
-		if other := &t.step.tasks[i]; other != t && !other.serving(now) {
-			unavailable++
+	return p.mayInterrupt(now, []*task{t})
+}
+
+// mayInterrupt reports whether planned work may interrupt the persistent tasks together now.
+func (p *Pool) mayInterrupt(now time.Time, tasks []*task) bool {
+	for _, t := range tasks {
+		if t.state != running {
+			return false
+		}
+		unavailable := 0
+		for i := range t.step.tasks {
+			if other := &t.step.tasks[i]; slices.Contains(tasks, other) || !other.serving(now) {
+				unavailable++
+			}
+		}
+		// The task itself counts, whether it serves or not.
+		if budget := t.step.spec.DisruptionBudget; budget > 0 && unavailable > budget {
+			return false
 		}
 	}
-	return unavailable < t.step.spec.DisruptionBudget
+	return true
 }
 
 // Throttling of best-effort tasks beside latency-sensitive ones, whose tail
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -47,9 +47,12 @@
 	}
 }
 
+// ejected reports whether the runner gets no tasks at all.
+func (h *runnerHealth) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
 // admits reports whether the runner may get a task in addition to those it has.
 func (h *runnerHealth) admits(now time.Time, tasks int) bool {
-	if now.Before(h.ejectedUntil) {
+	if h.ejected(now) {
 		return false
 	}
 	return h.failures < suspectAfter || tasks == 0
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -141,7 +141,7 @@
 func (p *Pool) capacity(now time.Time) job.MilliCPU {
 	var sum job.MilliCPU
 	for _, r := range p.runnerOrder {
-		if r.resolved && !r.Draining && !r.cordoned && r.missingSince.IsZero() && r.failedCalls == 0 && !now.Before(r.health.ejectedUntil) {
+		if r.resolved && !r.Draining && !r.cordoned && r.missingSince.IsZero() && r.failedCalls == 0 && !r.health.ejected(now) {
 			sum += r.Capacity.CPU
 		}
 	}
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -16,6 +16,9 @@
 	Capacity            job.Resources
 	Cordoned            bool
 	Usable              bool
+	// Withheld is true if the runner takes no tasks for a while although nobody has
+	// cordoned it: it is ejected or shuts down.
+	Withheld bool
 	// Known is false while the owner does not know the state of the runner's tasks.
 	Known bool
 }
@@ -47,7 +50,8 @@
 	for _, r := range p.runnerOrder {
 		runner := RunnerReport{
 			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now),
-			Known: r.resolved && (len(r.tasks) == 0 || r.failedCalls == 0),
+			Withheld: !r.cordoned && (r.Draining || r.health.ejected(now)),
+			Known:    r.resolved && (len(r.tasks) == 0 || r.failedCalls == 0),
 		}
 		runner.Passing = r.batchTasks + r.unsavedEnds()
 		runner.Persistent = len(r.tasks) - r.batchTasks
--- a/core/pool/reservation.go
+++ b/core/pool/reservation.go
@@ -237,9 +237,9 @@
 	return slices.CompactFunc(ends, time.Time.Equal)
 }
 
-// waitForRoom handles a persistent task that fits on no runner. It reserves room, unless every
-// runner that could ever hold the task is reserved for others: then it returns one of these
-// that has room now, whose reservation it ends, or nil.
+// waitForRoom handles a persistent task that fits on no runner. It reserves room, unless no
+// runner that is neither reserved for others nor cordoned could ever hold the task: then it
+// returns a reserved one that has room now, whose reservation it ends, or a cordoned one.
 func (p *Pool) waitForRoom(now time.Time, t *task, usable []*runnerState) *runnerState {
 	if !t.step.searchRoom(now) {
 		return nil
@@ -261,8 +261,9 @@
 	}
 	if reserved != nil {
 		p.endReservation(now, reserved.reservation, "the only place of "+t.id.String(), 0)
+		return reserved
 	}
-	return reserved
+	return p.chooseWithheld(now, t)
 }
 
 // reserveForGang keeps room for all members of a gang as of the earliest time at which
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -147,9 +147,13 @@
 
 // usable reports whether new tasks may be placed on the runner.
 func (r *runnerState) usable(now time.Time) bool {
-	return r.resolved && !r.Draining && !r.cordoned && r.missingSince.IsZero() &&
-		r.failedCalls == 0 && len(r.unknownRuns) == 0 &&
-		!now.Before(r.backoffUntil) && r.health.admits(now, r.batchTasks)
+	return r.accepts(now) && !r.cordoned && r.health.admits(now, r.batchTasks)
+}
+
+// accepts reports whether the runner would accept new tasks, although it may be withheld.
+func (r *runnerState) accepts(now time.Time) bool {
+	return r.resolved && !r.Draining && r.missingSince.IsZero() &&
+		r.failedCalls == 0 && len(r.unknownRuns) == 0 && !now.Before(r.backoffUntil)
 }
 
 // unreachable reports whether the runner has not answered for unreachableAfter.
--- a/core/pool/simulation_runner_test.go
+++ b/core/pool/simulation_runner_test.go
@@ -134,7 +134,11 @@
 	}
 	for _, task := range r.sortedTasks() {
 		run := r.running[task]
-		polled.Running = append(polled.Running, RunningTask{Task: task, Run: run.run, ProgressPercent: int(time.Duration(r.simulation.now.UnixNano()) / time.Millisecond % 100)})
+		progress := int(time.Duration(r.simulation.now.UnixNano()) / time.Millisecond % 100)
+		if run.step.Persistent {
+			progress = 100
+		}
+		polled.Running = append(polled.Running, RunningTask{Task: task, Run: run.run, ProgressPercent: progress})
 	}
 	polled.Ended = append(polled.Ended, r.ended[:r.listableEnds()]...)
 	polled.Truncated = len(polled.Ended) < len(r.ended)
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -11,6 +11,7 @@
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
 
+	"github.com/google/go-cmp/cmp"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 )
@@ -140,3 +141,18 @@
 		t.Errorf("the call in flight failed: %v", err)
 	}
 }
+
+// TestReportKeepsItsFields guards against a field of a pool's report that is lost between the
+// pool's owner and the planner of moves and upkeep, as Withheld first was.
+func TestReportKeepsItsFields(t *testing.T) {
+	report := pool.Report{
+		Pool: "booking", RunningCPU: 1, ReadyCPU: 2, Arriving: 3, Backlog: 4, RunningMemory: 5, ReadyMemory: 6, Spread: 7, Recovered: true,
+		Runners: []pool.RunnerReport{{
+			Runner: "r1", Persistent: 1, Passing: 2, Used: job.Resources{CPU: 3, Memory: 4}, Capacity: job.Resources{CPU: 5},
+			Cordoned: true, Usable: true, Withheld: true, Known: true,
+		}},
+	}
+	if diff := cmp.Diff(report, decodeReport("booking", encodeReport(&report))); diff != "" {
+		t.Errorf("report (-sent +received):\n%s", diff)
+	}
+}
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -93,7 +93,7 @@
 		reply.Runners = append(reply.Runners, &ownerpb.SyncReply_Runner{
 			Id: string(line.Runner), Persistent: int64(line.Persistent), Passing: int64(line.Passing),
 			UsedCpu: int64(line.Used.CPU), UsedMemory: int64(line.Used.Memory), CapacityCpu: int64(line.Capacity.CPU),
-			Cordoned: line.Cordoned, Usable: line.Usable, Known: line.Known,
+			Cordoned: line.Cordoned, Usable: line.Usable, Known: line.Known, Withheld: line.Withheld,
 		})
 	}
 	return reply
@@ -111,7 +111,7 @@
 			Runner: pool.RunnerID(line.GetId()), Persistent: int(line.GetPersistent()), Passing: int(line.GetPassing()),
 			Used:     job.Resources{CPU: job.MilliCPU(line.GetUsedCpu()), Memory: job.MiB(line.GetUsedMemory())},
 			Capacity: job.Resources{CPU: job.MilliCPU(line.GetCapacityCpu())},
-			Cordoned: line.GetCordoned(), Usable: line.GetUsable(), Known: line.GetKnown(),
+			Cordoned: line.GetCordoned(), Usable: line.GetUsable(), Known: line.GetKnown(), Withheld: line.GetWithheld(),
 		})
 	}
 	return r
