Tell failing runners from failing jobs, and limit ejections

Persistent tasks that failed now and then were not started again for 12 s and more, although the runners of the pool were nearly empty.

Cause: each failed run counted against its runner, and only an end done reset the count, which a persistent task never has. Nothing asked whether the job fails elsewhere, how many runners were ejected already, or whether the run had begun before the ejection, which each such failure renewed.

Ruled out: reservations and cordons (every task fitted everywhere, no wave), a slow owner (polls and starts went on).

Change: a job that fails on two other runners counts against none; a persistent task that serves for 3 s is a success; failures are forgotten after 15 s; a third of the accepting runners is ejected at most, and as many suspected; earlier runs do not renew an ejection; a persistent task in a crash loop waits 0.25 to 2 s; a task that could run nowhere else may start on an ejected runner. Ejections are logged.

Of the tests of health_test.go six failed before (a task absent for 9.8 s, 6 of 6 runners ejected, 720 starts in 60 s), TestFailingRunnerIsEjected held, TestStalledJobDoesNotEjectRunners calls a new function.

Conclusion: work that fails can take a third of a pool at most, for as long as it is not known to fail everywhere.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -94,12 +94,16 @@
 	defer func() { placements.flush(p, now, j, step) }()
 	for i := range step.tasks {
 		t := &step.tasks[i]
-		if t.state != ready {
+		if t.state != ready || now.Before(t.restartAt) {
 			continue
 		}
 		r := p.chooseRunner(now, t, usable)
-		if r == nil && step.spec.Persistent {
+		switch {
+		case r != nil:
+		case step.spec.Persistent:
 			r = p.waitForRoom(now, t, usable)
+		default:
+			r = p.chooseEjected(now, t)
 		}
 		if r == nil {
 			return
@@ -161,7 +165,7 @@
 	var best *runnerState
 	var bestScore placementScore
 	for _, r := range usable {
-		if !r.free().HasRoomFor(t.step.spec.Demand()) || !r.respectsReservation(now, t) || !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) {
+		if !r.free().HasRoomFor(t.step.spec.Demand()) || !r.admits(now, t) || !r.respectsReservation(now, t) || !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) {
 			continue
 		}
 		s := p.score(t, r)
--- a/core/pool/gang.go
+++ b/core/pool/gang.go
@@ -14,7 +14,7 @@
 	run := 0
 	for i := range step.tasks {
 		t := &step.tasks[i]
-		if t.state != ready {
+		if t.state != ready || now.Before(t.restartAt) {
 			return
 		}
 		run = max(run, t.nextRun())
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -55,6 +55,8 @@
 
 	// seq numbers the changes to be stored, savedSeq is the last stored one.
 	seq, savedSeq uint64
+	// failedOn is when a task of the job last failed on each runner.
+	failedOn map[RunnerID]time.Time
 	// saving is true while a write awaits its answer.
 	saving     bool
 	dirtySince time.Time
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -209,8 +209,11 @@
 
 // handleDone marks a task done, whichever of its runs has completed.
 func (p *Pool) handleDone(now time.Time, r *runnerState, t *task, end EndedTask) uint64 {
-	r.health.recordSuccess()
+	if !t.step.spec.Persistent {
+		r.health.recordSuccess()
+	}
 	if t.runner == r && t.run == end.Run {
+		t.delayRestart(now)
 		r.release(t)
 		p.finishIfDone(now, t.job)
 	}
@@ -252,8 +255,8 @@
 func (p *Pool) handleFailed(now time.Time, r *runnerState, t *task, end EndedTask, current bool) uint64 {
 	p.emit(&LogDecision{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: end.Run, Decision: "taskFailed", Reason: "the runner lists it as failed"})
 	if current && t.runner != nil {
-		r.health.recordFailure(now, t.id.Job)
-		t.lastFailedOn = r.ID
+		p.recordFailure(now, r, t)
+		t.delayRestart(now)
 		p.unassign(now, t)
 	}
 	if t.step.spec.Persistent {
@@ -294,6 +297,9 @@
 			t.progressAt = now
 		}
 		t.tailLatency = listedRun.TailLatency
+		if t.step.spec.Persistent && t.progressPercent >= 100 {
+			p.recordServing(now, r, t)
+		}
 	}
 	return listed
 }
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -150,6 +150,11 @@
 	return r.accepts(now) && !r.cordoned && r.health.admits(now, r.batchTasks)
 }
 
+// admits reports whether a usable runner may get the task in addition to those placed since.
+func (r *runnerState) admits(now time.Time, t *task) bool {
+	return t.step.spec.Persistent || r.health.admits(now, r.batchTasks)
+}
+
 // accepts reports whether the runner would accept new tasks, although it may be withheld.
 func (r *runnerState) accepts(now time.Time) bool {
 	return r.resolved && !r.Draining && r.missingSince.IsZero() &&
@@ -311,6 +316,7 @@
 	p.retryStops(now)
 	p.drainRunners(now)
 	p.stopStalled(now)
+	p.expireFailures(now)
 	for _, r := range p.runnerOrder {
 		p.throttleBestEffort(now, r)
 	}
--- a/core/pool/simulation_runner_test.go
+++ b/core/pool/simulation_runner_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -41,6 +42,8 @@
 	run    int
 	step   job.Step
 	endsAt time.Time
+	// result is how the run ends at endsAt.
+	result RunResult
 }
 
 func (r *modelRunner) clock() RunnerClock { return RunnerClock(r.simulation.now.Sub(r.born)) + 1 }
@@ -86,10 +89,26 @@
 	}
 	step := r.simulation.step(e.Task)
 	r.simulation.checkStart(e, r, step)
-	r.running[e.Task] = &modelRun{run: e.Run, step: step, endsAt: r.simulation.now.Add(step.EstimatedRuntime)}
+	r.running[e.Task] = r.newRun(e, step)
+	r.simulation.starts++
 	return Done
 }
 
+// newRun returns a run that starts now and ends as the simulation has it.
+func (r *modelRunner) newRun(e *StartTask, step job.Step) *modelRun {
+	sim := r.simulation
+	run := &modelRun{run: e.Run, step: step, endsAt: sim.now.Add(step.EstimatedRuntime), result: RunDone}
+	if sim.failsOn[r.id] {
+		run.endsAt, run.result = sim.now, RunFailed
+	}
+	if sim.failsAfter != nil {
+		if life := sim.failsAfter(e.Task, e.Run); life > 0 {
+			run.endsAt, run.result = sim.now.Add(life), cmp.Or(sim.failure, RunFailed)
+		}
+	}
+	return run
+}
+
 func (r *modelRunner) extendLease(until RunnerClock) {
 	until = min(until, r.clock()+RunnerClock(DefaultMaxLease))
 	if ends := r.born.Add(time.Duration(until)); ends.After(r.leaseEnds) {
@@ -174,8 +193,8 @@
 		return
 	}
 	for _, task := range r.sortedTasks() {
-		if endsAt := r.running[task].endsAt; !endsAt.After(r.simulation.now) && !endsAt.After(r.leaseEnds) {
-			r.endRun(task, RunDone)
+		if run := r.running[task]; !run.endsAt.After(r.simulation.now) && !run.endsAt.After(r.leaseEnds) {
+			r.endRun(task, run.result)
 		}
 	}
 	if !r.simulation.now.After(r.leaseEnds) {
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -48,9 +48,15 @@
 	// reduceTime is the real time spent in Reduce, which benchmarks report.
 	reduceTime time.Duration
 	eventCount int
-	// polls counts the polls of runners.
-	polls  int
-	uplink modelLink
+	// failsAfter returns how long after its start a run fails, 0 for never, and failsOn holds
+	// the runners on which every run fails at once. failure is the result of a run that
+	// fails, RunFailed if it is not set.
+	failsAfter func(task job.TaskID, run int) time.Duration
+	failsOn    map[RunnerID]bool
+	failure    RunResult
+	// polls counts the polls of runners, starts the runs.
+	polls, starts int
+	uplink        modelLink
 }
 
 // faults holds the probability of each fault per call or write.
--- a/core/pool/withheld.go
+++ b/core/pool/withheld.go
@@ -1,22 +1,54 @@
 package pool
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // chooseWithheld returns a runner for a persistent task that no usable runner can ever hold:
-// one that is cordoned and not drained yet, or nil. The task serves there until the runner can
-// be drained; meanwhile it does not use up the disruption budget of its step, on which the
-// drain may depend.
+// one that is ejected or suspected, or cordoned and not drained yet, or nil. On a cordoned one
+// the task serves until the runner can be drained; meanwhile it does not use up the disruption
+// budget of its step, on which the drain may depend.
 func (p *Pool) chooseWithheld(now time.Time, t *task) *runnerState {
 	for _, r := range p.runnerOrder {
-		if r.accepts(now) && r.cordoned && r.lastingTasks() > 0 && r.free().HasRoomFor(t.step.spec.Demand()) &&
+		if r.accepts(now) && (!r.cordoned || r.lastingTasks() > 0) && r.free().HasRoomFor(t.step.spec.Demand()) &&
 			p.meetsConstraints(t, r) && p.hasTicket(t, r, now) {
-			p.emit(&LogDecision{Job: t.id.Job, Task: t.id, Runner: r.ID, Decision: "cordonIgnored", Reason: "no other runner can hold the task", DataAge: now.Sub(r.lastAnswer)})
+			p.logWithheld(now, t, r)
 			return r
 		}
 	}
 	return nil
 }
 
+// chooseEjected returns an ejected runner for a batch task with a required label that no other
+// runner has, or nil.
+func (p *Pool) chooseEjected(now time.Time, t *task) *runnerState {
+	if t.step.spec.RequiredLabel == "" {
+		return nil
+	}
+	var best *runnerState
+	for _, r := range p.runnerOrder {
+		switch {
+		case !r.accepts(now) || r.cordoned || !p.meetsConstraints(t, r):
+		case !r.health.ejected(now):
+			return nil
+		case r.free().HasRoomFor(t.step.spec.Demand()) && p.hasTicket(t, r, now):
+			best = r
+		}
+	}
+	if best != nil {
+		p.logWithheld(now, t, best)
+	}
+	return best
+}
+
+func (p *Pool) logWithheld(now time.Time, t *task, r *runnerState) {
+	p.emit(&LogDecision{
+		Job: t.id.Job, Task: t.id, Runner: r.ID, Decision: "withheldRunnerUsed", DataAge: now.Sub(r.lastAnswer),
+		Reason: fmt.Sprintf("no other runner can hold the task; cordoned=%t ejected=%t suspect=%t", r.cordoned, r.health.ejected(now), r.health.suspect),
+	})
+}
+
 // lastingTasks counts the tasks that stay on the runner until they are stopped or fail.
 func (r *runnerState) lastingTasks() int {
 	n := 0
