Leaving runners do not raise the limit of ejections

A third of the runners of a service may be ejected, but runners that leave counted as accepting: with two of three leaving, the last one could be ejected by failures of its requests, and a runner that was ejected before the others left or were removed stayed so for up to 30 s, with none to send requests to.

Ruled out: nothing else reads the limit; probes readmit a runner only when their time has come.

Change: the limit is of the runners that stay, and it is enforced when runners leave or the configuration changes.

Conclusion: a service with a runner that stays has a runner that accepts requests.

--- a/core/entry/configuration.go
+++ b/core/entry/configuration.go
@@ -37,9 +37,7 @@
 	s.services = services
 	s.runners = runners
 	s.updatePeers(firstConfiguration)
-	for _, config := range e.Fleet.Services {
-		s.dispatchQueued(services[config.ID])
-	}
+	s.readmitExcess()
 }
 
 func (s *State) serviceFor(config service.Service) *serviceState {
@@ -80,6 +78,7 @@
 			r.leaving = true
 		}
 	}
+	s.readmitExcess()
 }
 
 // configuredServices returns the services in configuration order. Loops over
--- a/core/runner/health.go
+++ b/core/runner/health.go
@@ -71,6 +71,11 @@
 		h.Eject(now)
 		return
 	}
+	h.Readmit()
+}
+
+// Readmit ends the ejection. A single failure ejects the runner again.
+func (h *Health) Readmit() {
 	h.ejected = false
 	h.probing = false
 	h.failures = failuresToEject - 1
