--- a/core/pool/health_test.go
+++ b/core/pool/health_test.go
@@ -250,3 +250,20 @@
 	}
 	want(t, "failures counted", counts, []int{2, 2, 0, 0})
 }
+
+// TestFailedBatchTaskIsRetriedAtOnce guards against a delay before the attempts of a batch task,
+// which are limited anyway and whose caller waits for the outcome.
+func TestFailedBatchTaskIsRetriedAtOnce(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.idleRunners("r1", "r2", "r3")
+	effects := h.storeJob(jobID(1), false, singleTaskStep())
+	for attempt := 1; attempt <= 2; attempt++ {
+		starts := effectsOf[*StartTask](effects)
+		if len(starts) != 1 {
+			t.Fatalf("starts of attempt %d: %v, want one", attempt, describeStarts(effects))
+		}
+		h.confirmStarts(effects)
+		effects = h.answerPoll(starts[0].Runner.ID, nil, []EndedTask{{Number: int64(attempt), Task: taskID(1, 0, 0), Run: starts[0].Run, Result: RunFailed}})
+	}
+	want(t, "starts of the third attempt", len(effectsOf[*StartTask](effects)), 1)
+}
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -213,12 +213,12 @@
 		r.health.recordSuccess()
 	}
 	if t.runner == r && t.run == end.Run {
-		t.delayRestart(now)
 		r.release(t)
 		p.finishIfDone(now, t.job)
 	}
 	if t.step.spec.Persistent {
 		if t.runner == nil && t.job.outcome == "" {
+			t.delayRestart(now)
 			p.makeReady(t)
 		}
 		return 0
@@ -256,7 +256,9 @@
 	p.emit(&LogDecision{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: end.Run, Decision: "taskFailed", Reason: "the runner lists it as failed"})
 	if current && t.runner != nil {
 		p.recordFailure(now, r, t)
-		t.delayRestart(now)
+		if t.step.spec.Persistent {
+			t.delayRestart(now)
+		}
 		p.unassign(now, t)
 	}
 	if t.step.spec.Persistent {
