Delay a task whose start is rejected as malformed

A task that every runner rejects took starts and runners without end.

Ruled out: blaming the task alone, as a server at a reused address answers in the same way (404).

Change: the task is delayed like one in a crash loop, from its second rejection on.

No runner of the sites rejects starts in this way; by reading.

--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -159,8 +159,8 @@
 	return len(j.failedOn) - 1
 }
 
-// Delays before persistent tasks that end soon after each start are started again, so that
-// they leave starts to others.
+// Delays before tasks that end soon after each start, or whose start is rejected as malformed,
+// are started again, so that they leave starts to others.
 const (
 	// crashLoopTime is the run time after which an end counts as the first again.
 	crashLoopTime = 5 * time.Second
@@ -170,7 +170,7 @@
 	maxRestartDelay = 2 * time.Second
 )
 
-// delayRestart sets when a persistent task whose run has ended by itself may start again.
+// delayRestart sets when a task whose run has ended by itself may start again.
 func (t *task) delayRestart(now time.Time) {
 	if now.Sub(t.orderedAt) >= crashLoopTime {
 		t.crashes = 0
--- a/core/pool/order.go
+++ b/core/pool/order.go
@@ -109,7 +109,11 @@
 	p.emit(&LogDecision{Job: t.id.Job, Task: t.id, Runner: r.ID, Run: t.run, Decision: "startRefused", Reason: result.String(), DataAge: now.Sub(t.orderedAt)})
 	t.latestRun = RunRef{}
 	switch result {
-	case RefusedUnhealthy, RefusedInvalid, NotSent, Withheld:
+	case RefusedInvalid:
+		// Either the order is malformed or the address is another server's by now.
+		t.delayRestart(now)
+		r.backoffUntil = now.Add(refusalBackoff)
+	case RefusedUnhealthy, NotSent, Withheld:
 		r.backoffUntil = now.Add(refusalBackoff)
 	case RefusedNoCapacity, RefusedExpired, RefusedOtherIncarnation:
 		r.backoffUntil = now.Add(refusalBackoff / 4)
--- a/core/pool/task.go
+++ b/core/pool/task.go
@@ -37,8 +37,8 @@
 	runner  *runnerState
 	// latestRun is the latest run that may have started.
 	latestRun RunRef
-	// crashes counts the runs in a row of a persistent task that ended by themselves within
-	// crashLoopTime, restartAt is when the next one may start.
+	// crashes counts the runs in a row that ended by themselves within crashLoopTime,
+	// restartAt is when the next one may start.
 	crashes   int
 	restartAt time.Time
 	// lastFailedOn is the runner of the last run that failed or stalled.
