Catch SIGHUP until the entry has ended

Cause: watchSettings stopped listening when the shutdown began, and the default action of SIGHUP ends the process. The same held before the settings were read.

Ruled out: the end of the grace period; the exit status was "signal: hangup".

Change: the signal is caught from start to end.

--- a/cmd/bronzestair-entry/main.go
+++ b/cmd/bronzestair-entry/main.go
@@ -47,6 +47,9 @@
 
 // run serves until SIGTERM or SIGINT.
 func run(out *logs.Writer) error {
+	// Never stopped: a SIGHUP must not kill the process while it starts or shuts down.
+	sighup := make(chan os.Signal, 1)
+	signal.Notify(sighup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	path := os.Getenv(platform.SettingsVariable)
@@ -62,17 +65,14 @@
 	if err != nil {
 		return err
 	}
-	go watchSettings(ctx, path, settings, logger)
+	go watchSettings(ctx, sighup, path, settings, logger)
 	return entry.Run(ctx)
 }
 
 // watchSettings checks the settings file on each SIGHUP. The settings are
 // addresses and limits that are fixed for the life of the process; a change takes
 // effect at the next start.
-func watchSettings(ctx context.Context, path string, current *platform.Settings, logger *slog.Logger) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
+func watchSettings(ctx context.Context, sighup <-chan os.Signal, path string, current *platform.Settings, logger *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
