Order upkeep only for runners without work and unstored ends

That this change removes its cause is suspected.

Cause, by reading: an upkeep or move was ordered 2.5 s after the cordon with work still on the runner or with ends that were not stored. The order ends the runner, and an end whose answer is lost with it counts as a lost run.

Evidence: TestUpkeepWaitsForUnstoredEnds and TestCordonedRunnerStopsLongTasks failed before.

Conclusion: no planned order ends a runner that may list an end that nobody has read.

--- a/core/maintenance/cordon_test.go
+++ b/core/maintenance/cordon_test.go
@@ -134,3 +134,24 @@
 	}
 	want(t, "cordons were lifted", lifted, true)
 }
+
+// TestUpkeepWaitsForUnstoredEnds guards against an upkeep that ends a runner whose last ends are
+// not stored: they are lost with it, and tasks that are done run again (TWICE).
+func TestUpkeepWaitsForUnstoredEnds(t *testing.T) {
+	f := newFleet(t, 1)
+	f.list()
+	f.send(&WaveReceived{Wave: Wave{Number: 1, Instances: []InstanceID{"m0"}, MaxUnavailable: 1}})
+	report := func(passing int) []InstanceID {
+		f.now = f.now.Add(250 * time.Millisecond)
+		f.send(&PoolReported{Report: pool.Report{Pool: "booking", Recovered: true, Runners: []pool.RunnerReport{
+			{Runner: "r0", Cordoned: true, Known: true, Passing: passing},
+		}}})
+		return upkeeps(f.send(Ticked{}))
+	}
+	var ordered []InstanceID
+	for range 4 * 5 {
+		ordered = append(ordered, report(1)...)
+	}
+	want(t, "upkeeps before the ends are stored", ordered, []InstanceID(nil))
+	want(t, "upkeeps after", report(0), []InstanceID{"m0"})
+}
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -21,8 +21,6 @@
 	// maxDrainReportAge is the age up to which a report may show that an instance is
 	// drained.
 	maxDrainReportAge = 600 * time.Millisecond
-	// drainTimeout limits the wait for tasks that end by themselves.
-	drainTimeout = 2500 * time.Millisecond
 	// orderRetryDelay is the delay before an unanswered order is sent again.
 	orderRetryDelay = 400 * time.Millisecond
 	// returnTimeout is the time after which an accepted order is considered finished
@@ -279,10 +277,7 @@
 	if runner == nil {
 		return true
 	}
-	if !runner.Known || !runner.Cordoned || runner.Persistent > 0 {
-		return false
-	}
-	return runner.Passing == 0 || now.Sub(p.cordons[i.ID].cordonedAt) > drainTimeout
+	return runner.Known && runner.Cordoned && runner.Persistent == 0 && runner.Passing == 0
 }
 
 // countInProgress counts the upkeeps of a wave that may not have finished: orders
--- a/core/pool/drain.go
+++ b/core/pool/drain.go
@@ -5,8 +5,14 @@
 	"time"
 )
 
+// batchDrainTime is how long batch tasks on a cordoned runner may run on to end by
+// themselves.
+const batchDrainTime = 2500 * time.Millisecond
+
 // drainRunners stops the persistent tasks on cordoned and draining runners as far as
-// the disruption budgets of their steps permit. Batch tasks run to their end.
+// the disruption budgets of their steps permit. Batch tasks run to their end or, on a cordoned
+// runner, are stopped after batchDrainTime: an upkeep that ended them would lose their last
+// ends and checkpoints.
 //
 // A task that has a place elsewhere is stopped by itself, as it soon serves again. The others
 // give their budget back only after the upkeep. They are stopped all at once or not at all:
@@ -19,7 +25,11 @@
 		var remaining []*task
 		for _, t := range r.tasksByID { // not modified by stopTask, which releases nothing
 			switch {
-			case !t.lasts():
+			case t.state == done || t.state == stopping:
+			case !t.step.spec.Persistent:
+				if r.cordoned && now.Sub(r.cordonedAt) >= batchDrainTime {
+					p.stopTask(now, t, "evacuation of a batch task")
+				}
 			case t.state == running && p.hasOtherPlace(now, t) && p.withinDisruptionBudget(now, t):
 				p.stopTask(now, t, "evacuation")
 			default:
--- a/core/pool/drain_test.go
+++ b/core/pool/drain_test.go
@@ -162,3 +162,25 @@
 	}
 	want(t, "stopped tasks", stopped, []job.TaskID{taskID(2, 0, 0)})
 }
+
+// TestCordonedRunnerStopsLongTasks guards against a batch task that an upkeep ends: its last end
+// and its checkpoint are lost with the runner. It is stopped before, after time to end by itself.
+func TestCordonedRunnerStopsLongTasks(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.idleRunners("r1")
+	step := singleTaskStep()
+	step.Count, step.EstimatedRuntime = 2, time.Minute
+	h.confirmStarts(h.storeJob(jobID(1), false, step))
+	h.send(&RunnersCordoned{Runners: map[RunnerID]bool{"r1": true}})
+	running := []RunningTask{{Task: taskID(1, 0, 0), Run: 1}, {Task: taskID(1, 0, 1), Run: 1}}
+	stopsWithin := func(limit time.Duration) int {
+		stops := 0
+		for end := h.now.Add(limit); h.now.Before(end); {
+			effects := append(h.advance(100*time.Millisecond), h.answerPoll("r1", running, nil)...)
+			stops += len(effectsOf[*StopTask](effects))
+		}
+		return stops
+	}
+	want(t, "stops while the tasks may end by themselves", stopsWithin(2300*time.Millisecond), 0)
+	want(t, "stops afterwards", stopsWithin(400*time.Millisecond), 2)
+}
--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -82,7 +82,7 @@
 
 // RunnersCordoned replaces the set of cordoned runners. They get no new tasks and are
 // drained: persistent tasks are stopped as far as the disruption budgets permit, batch
-// tasks run to their end.
+// tasks after batchDrainTime if they have not ended.
 type RunnersCordoned struct {
 	Runners map[RunnerID]bool
 }
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -112,6 +112,7 @@
 	// it was found missing.
 	firstListed, missingSince time.Time
 	cordoned                  bool
+	cordonedAt                time.Time
 	// backoffUntil is when the runner may get tasks again after it refused a start.
 	backoffUntil time.Time
 	health       runnerHealth
@@ -290,11 +291,11 @@
 }
 
 // apply implements Event.
-func (e *RunnersCordoned) apply(p *Pool, _ time.Time) {
+func (e *RunnersCordoned) apply(p *Pool, now time.Time) {
 	for _, r := range p.runnerOrder {
 		id := r.ID
 		if r.cordoned != e.Runners[id] {
-			r.cordoned = e.Runners[id]
+			r.cordoned, r.cordonedAt = e.Runners[id], now
 			r.requestSave()
 			p.dispatchNeeded = true
 		}
