--- a/core/maintenance/cordon.go
+++ b/core/maintenance/cordon.go
@@ -29,6 +29,16 @@
 	destination job.PoolName
 }
 
+// cordon begins to drain an instance, for an upkeep or, with a destination, for a move.
+func (p *Planner) cordon(now time.Time, i Instance, destination job.PoolName) {
+	p.cordons[i.ID] = cordon{cordonedAt: now, destination: destination}
+	reason := "upkeep"
+	if destination != "" {
+		reason = "move to " + string(destination)
+	}
+	p.emit(&LogDecision{Instance: i.ID, Runner: i.Runner, Decision: "instanceCordoned", Reason: reason, DataAge: now.Sub(p.listRequestedAt)})
+}
+
 // liftBlockedCordons lifts the cordons of instances that were not drained in time. Their
 // tasks may wait for something that only other instances can give, or that only the
 // cordoned ones have room for.
@@ -90,7 +100,7 @@
 		return false
 	}
 	p.withheld[i.Pool]++
-	p.cordons[i.ID] = cordon{cordonedAt: now}
+	p.cordon(now, i, "")
 	return true
 }
 
--- a/core/pool/edge_cases_test.go
+++ b/core/pool/edge_cases_test.go
@@ -26,6 +26,18 @@
 	want(t, "starts", describeStarts(starts), []string{jobText(1, 0) + " 1@r2", jobText(1, 1) + " 1@r2"})
 }
 
+// TestNoTicketsWithoutRunners guards against requests for tickets while no runner could use one.
+func TestNoTicketsWithoutRunners(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.send(&QueuesChanged{Queues: map[job.QueueName]QueueSettings{testQueue: {MaxAttempts: 3, RequiresTickets: true}}})
+	h.runners("r1")
+	step := singleTaskStep()
+	step.Persistent = true
+	effects := append(h.storeJob(jobID(1), false, step), h.advance(time.Second)...)
+	want(t, "requests while no runner has answered", len(effectsOf[*RequestTickets](effects)), 0)
+	want(t, "requests afterwards", len(effectsOf[*RequestTickets](h.answerPoll("r1", nil, nil))), 1)
+}
+
 // jobText formats a task of the first step of a job.
 func jobText(n, index int) string { return taskID(n, 0, index).String() }
 
--- a/core/pool/ticket.go
+++ b/core/pool/ticket.go
@@ -38,9 +38,12 @@
 	if now.Add(ticketMargin).Before(cached.expires) {
 		return true
 	}
-	if !cached.pending && !now.Before(cached.retryAt) {
+	if cached.pending || now.Before(cached.retryAt) {
+		return false
+	}
+	if candidates := p.ticketCandidates(now, step); len(candidates) > 0 {
 		cached.pending = true
-		p.emit(&RequestTickets{Step: key, Runners: p.ticketCandidates(now, step)})
+		p.emit(&RequestTickets{Step: key, Runners: candidates})
 	}
 	return false
 }
