Let a wave progress beside runners that are withheld otherwise

Waves may now always cordon one instance of a pool.

TestWaveProgressesBesideWithheldRunners failed before.

--- a/core/maintenance/cordon.go
+++ b/core/maintenance/cordon.go
@@ -55,20 +55,36 @@
 	}
 }
 
-// countWithheld counts the instances of each pool that waves withhold or have in upkeep, and
-// those whose runners take no tasks for another reason. It also sets the limits of the pools.
+// withheld counts the instances of a pool that take no tasks.
+type withheld struct {
+	// byWaves counts those that are cordoned for an upkeep or in one, otherwise those whose
+	// runners shut down or are ejected.
+	byWaves, otherwise int
+	// limit is how many may be withheld before waves cordon no further one.
+	limit int
+}
+
+func (w withheld) total() int { return w.byWaves + w.otherwise }
+
+// full reports whether waves may cordon no further instance. They may always have one, so that
+// they make progress.
+func (w withheld) full() bool { return w.byWaves > 0 && w.total() >= w.limit }
+
+// countWithheld counts the withheld instances of each pool. Instances that are about to move to
+// another pool do not count as its own.
 func (p *Planner) countWithheld() {
 	clear(p.withheld)
 	for name := range p.pools {
-		// Instances that are about to move to another pool do not count.
-		p.cordonLimits[name] = p.have(name) / poolCordonDivisor
+		p.withheld[name] = withheld{limit: p.have(name) / poolCordonDivisor}
 	}
 	for id, instance := range p.instances {
+		w := p.withheld[instance.Pool]
 		if p.cordonedForUpkeep(id) || p.inUpkeep(instance) {
-			p.withheld[instance.Pool]++
+			w.byWaves++
 		} else if runner := p.runner(instance); runner != nil && runner.Withheld {
-			p.withheld[instance.Pool]++
+			w.otherwise++
 		}
+		p.withheld[instance.Pool] = w
 	}
 }
 
@@ -96,10 +112,12 @@
 	if _, cordoned := p.cordons[i.ID]; cordoned {
 		return true
 	}
-	if p.pausesCordon(now, i.ID) || p.withheld[i.Pool] >= max(1, p.cordonLimits[i.Pool]) {
+	w := p.withheld[i.Pool]
+	if p.pausesCordon(now, i.ID) || w.full() {
 		return false
 	}
-	p.withheld[i.Pool]++
+	w.byWaves++
+	p.withheld[i.Pool] = w
 	p.cordon(now, i, "")
 	return true
 }
--- a/core/maintenance/cordon_test.go
+++ b/core/maintenance/cordon_test.go
@@ -77,6 +77,22 @@
 	want(t, "cordoned runners beside a withheld one", len(f.planner.Cordons()["booking"]), 1)
 }
 
+// TestWaveProgressesBesideWithheldRunners guards against a wave that stands still for as long as
+// other causes withhold a third of a pool.
+func TestWaveProgressesBesideWithheldRunners(t *testing.T) {
+	f := newFleet(t, 6)
+	f.list()
+	f.send(&WaveReceived{Wave: Wave{Number: 2, Instances: []InstanceID{"m4", "m5"}, MaxUnavailable: 2, Duration: time.Second}})
+	report := pool.Report{Pool: "booking", Recovered: true}
+	for i, instance := range f.instances {
+		report.Runners = append(report.Runners, pool.RunnerReport{Runner: instance.Runner, Capacity: instance.Capacity, Usable: i > 2, Withheld: i <= 2, Known: true})
+	}
+	f.send(&PoolReported{Report: report})
+	f.now = f.now.Add(250 * time.Millisecond)
+	f.send(Ticked{})
+	want(t, "cordoned runners beside three withheld ones", len(f.planner.Cordons()["booking"]), 1)
+}
+
 // TestMovesSeeCordonsOfWaves guards against a pool that gives up instances which it needs for
 // a spread step while a wave cordons others.
 func TestMovesSeeCordonsOfWaves(t *testing.T) {
--- a/core/maintenance/maintenance.go
+++ b/core/maintenance/maintenance.go
@@ -128,13 +128,13 @@
 	cordons  map[InstanceID]cordon
 	// cordonPauses holds until when an instance is not cordoned again.
 	cordonPauses map[InstanceID]time.Time
-	// withheld and cordonLimits are by pool, see countWithheld.
-	withheld, cordonLimits map[job.PoolName]int
-	reports                map[job.PoolName]poolReport
-	pools                  map[job.PoolName]PoolSettings
-	peaks                  map[job.PoolName]peak
-	surplusSince           map[job.PoolName]time.Time
-	effects                []Effect
+	// withheld is as of the start of the planning step, with the cordons since.
+	withheld     map[job.PoolName]withheld
+	reports      map[job.PoolName]poolReport
+	pools        map[job.PoolName]PoolSettings
+	peaks        map[job.PoolName]peak
+	surplusSince map[job.PoolName]time.Time
+	effects      []Effect
 }
 
 // poolReport is the latest report of a pool and when it was received.
@@ -162,8 +162,7 @@
 		orders:       map[InstanceID]*pendingOrder{},
 		cordons:      map[InstanceID]cordon{},
 		cordonPauses: map[InstanceID]time.Time{},
-		withheld:     map[job.PoolName]int{},
-		cordonLimits: map[job.PoolName]int{},
+		withheld:     map[job.PoolName]withheld{},
 		reports:      map[job.PoolName]poolReport{},
 		pools:        map[job.PoolName]PoolSettings{},
 		peaks:        map[job.PoolName]peak{},
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -63,7 +63,7 @@
 // spareable returns how many instances a pool can give up, given a surplus: it keeps its
 // minimum beside the instances that waves withhold.
 func (p *Planner) spareable(b balance, surplus int) int {
-	return min(surplus, b.have-p.withheld[b.name]-b.minimum)
+	return min(surplus, b.have-p.withheld[b.name].total()-b.minimum)
 }
 
 // peak is a pool's need in instances that is kept for peakHoldTime unless a higher one
