Keep the cordon of an instance if no other one is due

Change: the pause only ranks the instance behind the others; batch tasks on a cordoned runner are stopped after 1.6 s, so that their stop ends within the time that a drain took before.

--- a/core/maintenance/cordon.go
+++ b/core/maintenance/cordon.go
@@ -18,7 +18,7 @@
 	// maxCordonTime is how long an instance stays cordoned without an order. It is far above
 	// the time that a drain takes.
 	maxCordonTime = 12 * time.Second
-	// cordonPause is the time after a lifted cordon in which others have their turn.
+	// cordonPause is the time after a lifted cordon in which others have their turn first.
 	cordonPause = 6 * time.Second
 )
 
@@ -39,9 +39,9 @@
 	p.emit(&LogDecision{Instance: i.ID, Runner: i.Runner, Decision: "instanceCordoned", Reason: reason, DataAge: now.Sub(p.listRequestedAt)})
 }
 
-// liftBlockedCordons lifts the cordons of instances that were not drained in time. Their
-// tasks may wait for something that only other instances can give, or that only the
-// cordoned ones have room for.
+// liftBlockedCordons lifts the cordons of instances that were not drained in time, as their
+// tasks may wait for something that takes longer. If no other instance is due, a wave
+// cordons the same one again at once.
 func (p *Planner) liftBlockedCordons(now time.Time) {
 	maps.DeleteFunc(p.cordonPauses, func(_ InstanceID, until time.Time) bool { return !now.Before(until) })
 	for _, id := range slices.Sorted(maps.Keys(p.cordons)) {
@@ -99,9 +99,9 @@
 	return i.State == Upkeep || o != nil && o.destination == ""
 }
 
-// cordonForWave cordons an instance, unless it is not up, too much of its pool is withheld
-// or it had its turn just before. It reports whether the instance may be drained for a
-// wave. Instances of spare pools need no cordon.
+// cordonForWave cordons an instance, unless it is not up or too much of its pool is withheld.
+// It reports whether the instance may be drained for a wave. Instances of spare pools need
+// no cordon.
 func (p *Planner) cordonForWave(now time.Time, i Instance) bool {
 	if i.State != Up {
 		return false
@@ -113,7 +113,7 @@
 		return true
 	}
 	w := p.withheld[i.Pool]
-	if p.pausesCordon(now, i.ID) || w.full() {
+	if w.full() {
 		return false
 	}
 	w.byWaves++
--- a/core/maintenance/cordon_test.go
+++ b/core/maintenance/cordon_test.go
@@ -124,6 +124,20 @@
 	want(t, "runners that had a turn", turns, map[pool.RunnerID]bool{"r0": true, "r2": true})
 }
 
+// TestBlockedCordonIsKeptWithoutOthers guards against a wave that loses time because it lifts the
+// cordon of an instance although no other one is due. On trouble-3 of the grown Skywatch site a
+// wave ended 13 s later than without a limit.
+func TestBlockedCordonIsKeptWithoutOthers(t *testing.T) {
+	f := busyFleet(t, 3)
+	f.send(&WaveReceived{Wave: Wave{Number: 1, Instances: []InstanceID{"m0"}, MaxUnavailable: 1}})
+	f.tickBusy(pool.Report{}, pool.Report{})
+	for range 60 * 4 {
+		if n := f.tickBusy(pool.Report{}, pool.Report{}); n != 1 {
+			t.Fatalf("%d runners are cordoned, want the only one that is due", n)
+		}
+	}
+}
+
 // TestBlockedMoveIsGivenUp guards against a move that withholds an instance which cannot be drained.
 func TestBlockedMoveIsGivenUp(t *testing.T) {
 	f := newFleet(t, 12)
--- a/core/maintenance/wave.go
+++ b/core/maintenance/wave.go
@@ -168,7 +168,7 @@
 	if w.reportedState == waveCompleted {
 		return
 	}
-	pending := p.pendingInstances(w)
+	pending := p.pendingInstances(now, w)
 	if len(pending) == 0 {
 		if p.countInProgress(w, func(*pendingOrder) bool { return true }) == 0 {
 			w.reportedState = waveCompleted
@@ -216,7 +216,7 @@
 
 // pendingInstances returns the listed instances of a wave for which the platform has not
 // accepted an order for upkeep, in ascending order of drainCost.
-func (p *Planner) pendingInstances(w *waveState) []Instance {
+func (p *Planner) pendingInstances(now time.Time, w *waveState) []Instance {
 	var out []Instance
 	for _, id := range w.Instances {
 		if w.begun[id] {
@@ -227,18 +227,20 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Instance) int {
-		return cmp.Or(cmp.Compare(p.drainCost(a), p.drainCost(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(p.drainCost(now, a), p.drainCost(now, b)), cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
 
-// drainCost ranks instances by the work that draining them interrupts. Instances
-// that are already cordoned come first.
-func (p *Planner) drainCost(i Instance) int {
+// drainCost ranks instances by the work that draining them interrupts. Instances that are
+// already cordoned come first, those that could not be drained just before last.
+func (p *Planner) drainCost(now time.Time, i Instance) int {
 	runner := p.runner(i)
 	switch {
 	case p.cordons[i.ID].cordonedAt != (time.Time{}):
 		return 0
+	case p.pausesCordon(now, i.ID):
+		return 1 << 21
 	case p.pools[i.Pool].Spare:
 		return 1
 	case runner == nil:
--- a/core/pool/drain.go
+++ b/core/pool/drain.go
@@ -6,8 +6,8 @@
 )
 
 // batchDrainTime is how long batch tasks on a cordoned runner may run on to end by
-// themselves.
-const batchDrainTime = 2500 * time.Millisecond
+// themselves. A stop may then take about a second.
+const batchDrainTime = 1600 * time.Millisecond
 
 // drainRunners stops the persistent tasks on cordoned and draining runners as far as
 // the disruption budgets of their steps permit. Batch tasks run to their end or, on a cordoned
