Start batch tasks on their only place while its drain is blocked

Change: batch tasks whose required label no other runner has, and all tasks if no runner is usable, start on runners that are ejected, or cordoned and not drained of persistent tasks. Batch tasks are stopped only on runners that are drained of persistent ones.

Evidence: TestBatchTaskRunsOnItsCordonedPlace failed before with two runners, one of them labelled; its case with one runner came with the change.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -71,13 +71,21 @@
 	return largest
 }
 
+// usableRunners returns the runners on which tasks may be placed. If there are none, these are
+// the withheld ones that are not about to end.
 func (p *Pool) usableRunners(now time.Time) []*runnerState {
-	var out []*runnerState
+	var out, fallback []*runnerState
 	for _, r := range p.runnerOrder {
-		if r.usable(now) {
+		switch {
+		case r.usable(now):
 			out = append(out, r)
+		case r.lastResort(now):
+			fallback = append(fallback, r)
 		}
 	}
+	if len(out) == 0 {
+		return fallback
+	}
 	return out
 }
 
@@ -103,7 +111,7 @@
 		case step.spec.Persistent:
 			r = p.waitForRoom(now, t, usable)
 		default:
-			r = p.chooseEjected(now, t)
+			r = p.chooseOnlyPlace(now, t)
 		}
 		if r == nil {
 			return
--- a/core/pool/drain.go
+++ b/core/pool/drain.go
@@ -11,8 +11,8 @@
 
 // drainRunners stops the persistent tasks on cordoned and draining runners as far as
 // the disruption budgets of their steps permit. Batch tasks run to their end or, on a cordoned
-// runner, are stopped after batchDrainTime: an upkeep that ended them would lose their last
-// ends and checkpoints.
+// runner without persistent tasks, are stopped after batchDrainTime: an upkeep that ended
+// them would lose their last ends and checkpoints.
 //
 // A task that has a place elsewhere is stopped by itself, as it soon serves again. The others
 // give their budget back only after the upkeep. They are stopped all at once or not at all:
@@ -25,11 +25,7 @@
 		var remaining []*task
 		for _, t := range r.tasksByID { // not modified by stopTask, which releases nothing
 			switch {
-			case t.state == done || t.state == stopping:
-			case !t.step.spec.Persistent:
-				if r.cordoned && now.Sub(r.cordonedAt) >= batchDrainTime {
-					p.stopTask(now, t, "evacuation of a batch task")
-				}
+			case !t.lasts():
 			case t.state == running && p.hasOtherPlace(now, t) && p.withinDisruptionBudget(now, t):
 				p.stopTask(now, t, "evacuation")
 			default:
@@ -37,10 +33,23 @@
 			}
 		}
 		// A draining runner need not be empty, so that its tasks may serve until it leaves.
-		if !r.Draining && p.mayInterrupt(now, remaining) {
-			for _, t := range remaining {
-				p.stopTask(now, t, "evacuation without another place")
-			}
+		if r.Draining || !p.mayInterrupt(now, remaining) {
+			continue
+		}
+		for _, t := range remaining {
+			p.stopTask(now, t, "evacuation without another place")
+		}
+		if now.Sub(r.cordonedAt) >= batchDrainTime {
+			p.stopBatchTasks(now, r)
+		}
+	}
+}
+
+// stopBatchTasks stops the batch tasks on a runner that is drained of persistent ones.
+func (p *Pool) stopBatchTasks(now time.Time, r *runnerState) {
+	for _, t := range r.tasksByID {
+		if !t.step.spec.Persistent && t.state != done {
+			p.stopTask(now, t, "evacuation of a batch task")
 		}
 	}
 }
--- a/core/pool/drain_test.go
+++ b/core/pool/drain_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -184,3 +185,42 @@
 	want(t, "stops while the tasks may end by themselves", stopsWithin(1400*time.Millisecond), 0)
 	want(t, "stops afterwards", stopsWithin(400*time.Millisecond), 2)
 }
+
+// TestBatchTaskRunsOnItsCordonedPlace guards against a batch task that waits for as long as the drain
+// of its only permitted runner, or of the only runner, is blocked, and against one that is
+// stopped there in vain.
+func TestBatchTaskRunsOnItsCordonedPlace(t *testing.T) {
+	for _, runners := range []int{1, 2} {
+		t.Run(fmt.Sprint(runners), func(t *testing.T) { testBatchTaskOnCordonedPlace(t, runners) })
+	}
+}
+
+func testBatchTaskOnCordonedPlace(t *testing.T, runners int) {
+	h := newHarness(t, Options{})
+	h.labelledRunners(runners)
+	service := persistentStep(3, 100) // one task has no place, which uses up the budget
+	service.DisruptionBudget = 1
+	var running []RunningTask
+	for _, s := range effectsOf[*StartTask](h.storeJob(jobID(1), false, service)) {
+		h.send(&TaskStarted{Runner: s.Runner.ID, Task: s.Task, Run: s.Run, CallResult: Done, Sent: h.now})
+		if s.Runner.ID == "r1" {
+			running = append(running, RunningTask{Task: s.Task, Run: 1, ProgressPercent: 100})
+		}
+	}
+	h.send(&RunnersCordoned{Runners: map[RunnerID]bool{"r1": true}})
+	step := singleTaskStep()
+	step.EstimatedRuntime = time.Minute
+	if runners > 1 {
+		step.RequiredLabel = "r1"
+	}
+	effects := h.storeJob(jobID(2), false, step)
+	want(t, "starts", describeStarts(effects), []string{taskID(2, 0, 0).String() + " 1@r1"})
+	h.confirmStarts(effects)
+	running = append(running, RunningTask{Task: taskID(2, 0, 0), Run: 1})
+	var stops []*StopTask
+	for n := range 50 {
+		running[1].ProgressPercent = n
+		stops = append(stops, effectsOf[*StopTask](append(h.advance(100*time.Millisecond), h.answerPoll("r1", running, nil)...))...)
+	}
+	want(t, "stops while the drain is blocked", len(stops), 0)
+}
--- a/core/pool/reservation.go
+++ b/core/pool/reservation.go
@@ -99,6 +99,11 @@
 	return r.roomAt(now, r.reservation.expected).Sub(r.reservation.room[r])
 }
 
+// mayReserve reports whether room on the runner may be kept for a task.
+func (r *runnerState) mayReserve(now time.Time) bool {
+	return r.usable(now) && r.reservation == nil && !now.Before(r.reservableAt)
+}
+
 // respectsReservation reports whether a task that fits on the runner now leaves the
 // reserved room free in time: because it ends before, or because it fits beside it.
 func (r *runnerState) respectsReservation(now time.Time, t *task) bool {
@@ -200,7 +205,7 @@
 	var best *runnerState
 	var bestAt time.Time
 	for _, r := range candidates {
-		if r.reservation != nil || now.Before(r.reservableAt) {
+		if !r.mayReserve(now) {
 			continue
 		}
 		at := r.roomExpected(now, demand)
@@ -274,7 +279,7 @@
 		return
 	}
 	open := slices.DeleteFunc(slices.Clone(usable), func(r *runnerState) bool {
-		return r.reservation != nil || now.Before(r.reservableAt)
+		return !r.mayReserve(now)
 	})
 	ends := expectedEnds(now, open)
 	fitAt := func(at time.Time) []*runnerState {
--- a/core/pool/withheld.go
+++ b/core/pool/withheld.go
@@ -11,7 +11,7 @@
 // budget of its step, on which the drain may depend.
 func (p *Pool) chooseWithheld(now time.Time, t *task) *runnerState {
 	for _, r := range p.runnerOrder {
-		if r.accepts(now) && (!r.cordoned || r.lastingTasks() > 0) && r.free().HasRoomFor(t.step.spec.Demand()) &&
+		if r.lastResort(now) && r.free().HasRoomFor(t.step.spec.Demand()) &&
 			p.meetsConstraints(t, r) && p.hasTicket(t, r, now) {
 			p.logWithheld(now, t, r)
 			return r
@@ -20,19 +20,20 @@
 	return nil
 }
 
-// chooseEjected returns an ejected runner for a batch task with a required label that no other
-// runner has, or nil.
-func (p *Pool) chooseEjected(now time.Time, t *task) *runnerState {
+// chooseOnlyPlace returns a withheld runner for a batch task with a required label that no
+// other runner has, or nil: one that is ejected, or cordoned and not drained of persistent
+// tasks yet.
+func (p *Pool) chooseOnlyPlace(now time.Time, t *task) *runnerState {
 	if t.step.spec.RequiredLabel == "" {
 		return nil
 	}
 	var best *runnerState
 	for _, r := range p.runnerOrder {
 		switch {
-		case !r.accepts(now) || r.cordoned || !p.meetsConstraints(t, r):
-		case !r.health.ejected(now):
+		case !r.accepts(now) || !p.meetsConstraints(t, r):
+		case !r.cordoned && !r.health.ejected(now):
 			return nil
-		case r.free().HasRoomFor(t.step.spec.Demand()) && p.hasTicket(t, r, now):
+		case r.lastResort(now) && r.free().HasRoomFor(t.step.spec.Demand()) && p.hasTicket(t, r, now):
 			best = r
 		}
 	}
@@ -49,6 +50,12 @@
 	})
 }
 
+// lastResort reports whether a withheld runner may run a task that has no other place. A
+// cordoned runner that is drained of persistent tasks is about to end.
+func (r *runnerState) lastResort(now time.Time) bool {
+	return r.accepts(now) && (!r.cordoned || r.lastingTasks() > 0)
+}
+
 // lastingTasks counts the tasks that stay on the runner until they are stopped or fail.
 func (r *runnerState) lastingTasks() int {
 	n := 0
