--- a/core/maintenance/cordon.go
+++ b/core/maintenance/cordon.go
@@ -29,8 +29,8 @@
 	destination job.PoolName
 }
 
-// cordon begins to drain an instance, for an upkeep or, with a destination, for a move.
-func (p *Planner) cordon(now time.Time, i Instance, destination job.PoolName) {
+// cordonInstance begins to drain an instance, for an upkeep or, with a destination, for a move.
+func (p *Planner) cordonInstance(now time.Time, i Instance, destination job.PoolName) {
 	p.cordons[i.ID] = cordon{cordonedAt: now, destination: destination}
 	reason := "upkeep"
 	if destination != "" {
@@ -118,7 +118,7 @@
 	}
 	w.byWaves++
 	p.withheld[i.Pool] = w
-	p.cordon(now, i, "")
+	p.cordonInstance(now, i, "")
 	return true
 }
 
--- a/core/maintenance/move.go
+++ b/core/maintenance/move.go
@@ -164,7 +164,7 @@
 		if _, cordoned := p.cordons[id]; cordoned || p.pausesCordon(now, id) || runner == nil || !runner.Known || runner.Persistent > 0 || runner.Passing > 0 {
 			continue
 		}
-		p.cordon(now, instance, destination)
+		p.cordonInstance(now, instance, destination)
 		return true
 	}
 	return false
@@ -315,7 +315,7 @@
 	if best == nil {
 		return false
 	}
-	p.cordon(now, *best, destination)
+	p.cordonInstance(now, *best, destination)
 	for i := range balances {
 		if balances[i].name == best.Pool {
 			balances[i].have--
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -38,6 +38,7 @@
 			for _, step := range o.steps {
 				// In an overloaded pool most steps fit on no runner, so the scan of all
 				// runners is skipped.
+				// Persistent tasks and gangs are looked at all the same: they reserve room.
 				reserves := step.spec.Persistent || step.spec.Gang
 				if step.ready == 0 || (!reserves && !largest.HasRoomFor(step.spec.Demand())) || !p.mayStart(now, j, step) {
 					continue
--- a/core/pool/health.go
+++ b/core/pool/health.go
@@ -27,8 +27,8 @@
 	ejectDivisor = 3
 	// failureMemory is how long a failure counts.
 	failureMemory = 15 * time.Second
-	// jobFaultRunners is the number of other runners on which tasks of a job have failed
-	// from which on its failures count against no runner, or all others if they are fewer.
+	// jobFaultRunners is on how many other runners tasks of a job must have failed for its
+	// failures to count against no runner. If there are fewer others, all of them suffice.
 	jobFaultRunners = 2
 	// soundRunTime is how long a persistent task must serve to count as a success.
 	soundRunTime = 3 * time.Second
@@ -77,9 +77,9 @@
 	return !h.ejected(now) && (!h.suspect || batchTasks == 0)
 }
 
-// recordFailure counts a failed or stalled run against its runner, unless the job is to blame:
-// its tasks have failed on other runners as well. A run that began before the runner was
-// ejected adds nothing to the reason for that.
+// recordFailure counts a failed or stalled run against its runner, unless the job is to blame,
+// as its tasks have failed on other runners as well, or the run began before the last ejection
+// of the runner, which has already answered for such failures.
 func (p *Pool) recordFailure(now time.Time, r *runnerState, t *task) {
 	t.lastFailedOn = r.ID
 	elsewhere := t.job.recordFailure(now, r.ID)
--- a/core/pool/reservation.go
+++ b/core/pool/reservation.go
@@ -3,14 +3,15 @@
 import (
 	"fmt"
 	"slices"
+	"sort"
 	"time"
 
 	"bronzestair/core/job"
 )
 
-// Reservations follow the backfilling of batch schedulers (EASY): room is kept for a task
-// that fits nowhere yet from when it is expected to come free, and other tasks use it
-// until then. Delegates know nothing of them, as they only send orders.
+// Reservations follow the backfilling of batch schedulers (EASY): room is kept for a task that
+// fits nowhere yet. Until it is expected to be complete, other tasks use what has come free if
+// they end before. Delegates know nothing of reservations, as they only send orders.
 const (
 	// reservationDivisor limits the reserved runners to one in reservationDivisor of the
 	// usable ones, but at least one. A gang that needs more may hold the only reservation.
@@ -43,7 +44,7 @@
 }
 
 // overdue reports whether the room has not come free in twice the expected time. Estimates
-// are rough, and a task may run for ever.
+// are rough, and a task may never end.
 func (res *reservation) overdue(now time.Time) bool {
 	return now.Sub(res.madeAt) > 2*res.expected.Sub(res.madeAt)+reservationGrace
 }
@@ -285,12 +286,7 @@
 	fitAt := func(at time.Time) []*runnerState {
 		return p.fitGang(now, step, open, func(r *runnerState) job.Resources { return r.roomAt(now, at) })
 	}
-	first, _ := slices.BinarySearchFunc(ends, true, func(at time.Time, _ bool) int {
-		if fitAt(at) == nil {
-			return -1
-		}
-		return 0
-	})
+	first := sort.Search(len(ends), func(i int) bool { return fitAt(ends[i]) != nil })
 	if first == len(ends) {
 		return // the members never fit
 	}
