Evacuate nothing while stops of a previous owner may be in progress

Cause: stops that the previous owner has sent take up to a second, in which their tasks are listed as serving. The new owner counted on them.

Change: a new owner evacuates nothing for 1.5 s.

Evidence: TestNewOwnerWaitsForStopsOfItsPredecessor failed before.

--- a/core/pool/drain.go
+++ b/core/pool/drain.go
@@ -6,8 +6,12 @@
 )
 
 // batchDrainTime is how long batch tasks on a cordoned runner may run on to end by
-// themselves. A stop may then take about a second.
-const batchDrainTime = 1600 * time.Millisecond
+// themselves.
+const batchDrainTime = 2500 * time.Millisecond
+
+// handoverDrainDelay is how long a new owner evacuates nothing. Stops that its predecessor sent
+// may take about a second, in which their tasks still look as if they served.
+const handoverDrainDelay = 1500 * time.Millisecond
 
 // drainRunners stops the persistent tasks on cordoned and draining runners as far as
 // the disruption budgets of their steps permit. Batch tasks run to their end or, on a cordoned
@@ -18,6 +22,9 @@
 // give their budget back only after the upkeep. They are stopped all at once or not at all:
 // otherwise two runners could each wait for the budget that the other one's evacuation holds.
 func (p *Pool) drainRunners(now time.Time) {
+	if p.hasPreviousOwner() && now.Sub(p.ownedSince) < handoverDrainDelay {
+		return
+	}
 	for _, r := range p.runnerOrder {
 		if !r.cordoned && !r.Draining {
 			continue
--- a/core/pool/takeover_test.go
+++ b/core/pool/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"bronzestair/core/job"
 )
@@ -85,3 +86,39 @@
 	h.answerPoll("r1", nil, nil)
 	want(t, "start", describeStarts(h.storeJob(jobID(1), false, singleTaskStep())), []string{taskID(1, 0, 0).String() + " 10001@r1"})
 }
+
+// TestNewOwnerWaitsForStopsOfItsPredecessor guards against an evacuation beyond a disruption budget
+// (AVAIL): the previous owner has stopped a persistent task just before the takeover, and its runner
+// still lists it as serving.
+func TestNewOwnerWaitsForStopsOfItsPredecessor(t *testing.T) {
+	h := newHarness(t, Options{Epoch: 2, Loading: true})
+	h.runners("r1", "r2", "r3")
+	step := persistentStep(2, 100)
+	step.DisruptionBudget = 1
+	h.storeJob(jobID(1), true, step)
+	h.send(&JobsLoaded{Present: map[job.ID]bool{jobID(1): true}, Version: 20})
+	h.incarnations("r1", "r2", "r3")
+	serving := func(index int) []RunningTask {
+		return []RunningTask{{Task: taskID(1, 0, index), Run: 4, ProgressPercent: 100}}
+	}
+	h.answerPoll("r1", serving(0), nil)
+	h.answerPoll("r2", serving(1), nil)
+	h.answerPoll("r3", nil, nil)
+	effects := append(h.send(&RunnersCordoned{Runners: map[RunnerID]bool{"r1": true}}), h.advance(100*time.Millisecond)...)
+	want(t, "stops just after the takeover", len(effectsOf[*StopTask](effects)), 0)
+	h.answerPoll("r2", nil, []EndedTask{{Number: 1, Task: taskID(1, 0, 1), Run: 4, Result: RunStopped}})
+	var stops []*StopTask
+	for range 30 {
+		effects := h.advance(100 * time.Millisecond)
+		h.confirmStarts(effects)
+		stops = append(stops, effectsOf[*StopTask](append(effects, h.answerPoll("r1", serving(0), nil)...))...)
+		for _, id := range []RunnerID{"r2", "r3"} {
+			var running []RunningTask
+			if r := h.pool.runners[id]; r.tasks[taskID(1, 0, 1)] != nil {
+				running = []RunningTask{{Task: taskID(1, 0, 1), Run: r.tasks[taskID(1, 0, 1)].run, ProgressPercent: 100}}
+			}
+			h.answerPoll(id, running, nil)
+		}
+	}
+	want(t, "stops once the other task serves again", len(stops) > 0, true)
+}
