Authenticate callers by the keys of organisations

Cause: the configuration names organisations with their keys, and no entry checked them.

Change: core/organisation recognises organisations by salted digests of their keys; it is part of the configuration, so that queues and keys change together. A call without a known key gets 401 before its body is read, unless its queue is public or the configuration has no organisations. Jobs carry their organisation. The messages between entries and the flag -lookahead are prepared for the parts described in docs/design/organisations-and-load.md.

--- a/cmd/bronzestair-entry/main.go
+++ b/cmd/bronzestair-entry/main.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	bronzestair-entry # an environment variable names the settings file, see platform/README.md
+//	bronzestair-entry [-lookahead auto|on|off] # an environment variable names the settings file, see platform/README.md
 //
 // On SIGTERM or SIGINT it shuts down gracefully: it stops reporting ready, hands its pools
 // over to other entries, and lets the requests in flight complete.
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -37,16 +39,22 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	out := logs.NewWriter(os.Stdout, maxLogLinesPerSecond)
-	err := run(out)
+	err := run(out, os.Args[1:])
 	out.Close()
-	if err != nil {
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
 		fmt.Fprintln(os.Stderr, "bronzestair-entry:", err)
 		os.Exit(1)
 	}
 }
 
 // run serves until SIGTERM or SIGINT.
-func run(out *logs.Writer) error {
+func run(out *logs.Writer, arguments []string) error {
+	var options platform.EntryOptions
+	flags := flag.NewFlagSet("bronzestair-entry", flag.ContinueOnError)
+	flags.Var(&options.Lookahead, "lookahead", "whether to place tasks with regard to what waits and ends soon: auto, on or off; auto means on while the configuration has organisations")
+	if err := flags.Parse(arguments); err != nil {
+		return err
+	}
 	// Never stopped: a SIGHUP must not kill the process while it starts or shuts down.
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
@@ -61,7 +69,7 @@
 		return err
 	}
 	logger := slog.New(slog.NewJSONHandler(out, nil)).With("entry", settings.Instance)
-	entry, err := platform.NewEntry(settings, logger)
+	entry, err := platform.NewEntry(settings, options, logger)
 	if err != nil {
 		return err
 	}
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bronzestair/core/job"
+	"bronzestair/core/organisation"
 	"bronzestair/core/pool"
 )
 
@@ -27,6 +28,8 @@
 	Host   string
 	Prefix string
 	Pool   job.PoolName
+	// Public is true if callers need no key.
+	Public bool
 	pool.QueueSettings
 }
 
@@ -54,6 +57,9 @@
 	Queues  []Queue
 	Pools   []Pool
 	Limits  Limits
+	// Organisations are the organisations of callers. It is nil if the configuration does
+	// not name any, in which case all queues are public.
+	Organisations *organisation.Directory
 }
 
 // Lookup returns the queue with the given host and the longest prefix of path, and the
@@ -76,6 +82,16 @@
 	return best, path[len(best.Prefix):], true
 }
 
+// Authenticate returns the organisation of a caller of a queue by the caller's key, which may
+// be empty. The organisation is nil for a public queue. It returns false if the queue
+// requires a key and the key is not known.
+func (c *Catalog) Authenticate(q *Queue, key string) (*organisation.Organisation, bool) {
+	if q.Public || c.Organisations == nil {
+		return nil, true
+	}
+	return c.Organisations.Authenticate(key)
+}
+
 // QueueSettings returns the settings of all queues by name.
 func (c *Catalog) QueueSettings() map[job.QueueName]pool.QueueSettings {
 	out := make(map[job.QueueName]pool.QueueSettings, len(c.Queues))
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -55,6 +55,10 @@
 // PoolName is the name of a pool of instances.
 type PoolName string
 
+// Organisation is the name of an organisation on whose behalf jobs are submitted. It is
+// empty for jobs of public queues.
+type Organisation string
+
 // MilliCPU is an amount of CPU in thousandths of a core.
 type MilliCPU int
 
@@ -288,11 +292,13 @@
 
 // Record is the stored form of an accepted job.
 type Record struct {
-	Pool     PoolName  `json:"pool"`
-	Queue    QueueName `json:"queue"`
-	ID       ID        `json:"id"`
-	Spec     Spec      `json:"spec"`
-	Accepted time.Time `json:"accepted"`
+	Pool  PoolName  `json:"pool"`
+	Queue QueueName `json:"queue"`
+	// Organisation is that of the caller, empty for a job of a public queue.
+	Organisation Organisation `json:"organisation,omitempty"`
+	ID           ID           `json:"id"`
+	Spec         Spec         `json:"spec"`
+	Accepted     time.Time    `json:"accepted"`
 	// Settings are those of the queue when the job was accepted. They are nil in records of
 	// versions that did not store them.
 	Settings *QueueSettings `json:"settings,omitempty"`
--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bronzestair/core/job"
+	"bronzestair/core/organisation"
 )
 
 // Event is an input of Reduce that changes the state of the pool. JobRemoved and
@@ -15,9 +16,11 @@
 // Ticked drives everything that depends on time alone. It is sent periodically.
 type Ticked struct{}
 
-// QueuesChanged replaces the settings of all queues.
+// QueuesChanged replaces the settings of all queues and the organisations.
 type QueuesChanged struct {
 	Queues map[job.QueueName]QueueSettings
+	// Organisations is nil if the configuration names none.
+	Organisations *organisation.Directory
 }
 
 // JobStored adds an accepted job.
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -132,7 +132,7 @@
 
 // apply implements Event.
 func (e *QueuesChanged) apply(p *Pool, _ time.Time) {
-	p.queues = e.Queues
+	p.queues, p.organisations = e.Queues, e.Organisations
 	p.dispatchNeeded = true
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"bronzestair/core/job"
+	"bronzestair/core/organisation"
 )
 
 // Fence is a fencing token. A runner rejects orders with a lower token than the
@@ -56,6 +57,7 @@
 	PollRate int
 	// MaxStartsInFlight limits the starts that await their answer.
 	MaxStartsInFlight int
+	Lookahead         Lookahead
 }
 
 // Defaults of the options.
@@ -108,7 +110,9 @@
 	ownedSince time.Time
 	loading    bool
 	queues     map[job.QueueName]QueueSettings
-	jobs       map[job.ID]*jobState
+	// organisations is nil if the configuration names none.
+	organisations *organisation.Directory
+	jobs          map[job.ID]*jobState
 	// jobOrder and runnerOrder hold the jobs and runners in a fixed order, so that
 	// the same events always produce the same effects.
 	jobOrder    []*jobState
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -175,7 +175,7 @@
 	m.mu.Unlock()
 	settings := current.QueueSettings()
 	for _, o := range m.poolOwners() {
-		o.submit(&pool.QueuesChanged{Queues: settings})
+		o.submit(&pool.QueuesChanged{Queues: settings, Organisations: current.Organisations})
 	}
 }
 
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -38,8 +38,8 @@
 // Submit stores a job. Submissions with the same id are the same job. The pool's owner
 // stores the jobs that all entries receive, in batches; if it cannot be reached, this
 // entry stores the job itself.
-func (m *Manager) Submit(ctx context.Context, q *catalog.Queue, id job.ID, spec *job.Spec) (SubmitResult, error) {
-	record := &job.Record{Pool: q.Pool, Queue: q.Name, ID: id, Spec: *spec, Accepted: time.Now(), Settings: &q.QueueSettings}
+func (m *Manager) Submit(ctx context.Context, q *catalog.Queue, caller job.Organisation, id job.ID, spec *job.Spec) (SubmitResult, error) {
+	record := &job.Record{Pool: q.Pool, Queue: q.Name, Organisation: caller, ID: id, Spec: *spec, Accepted: time.Now(), Settings: &q.QueueSettings}
 	value, err := record.Encode()
 	if err != nil {
 		return NotStored, err
@@ -104,7 +104,7 @@
 
 // State returns the state of a job, or ErrUnknownJob. Other errors mean that the state
 // cannot be determined at present.
-func (m *Manager) State(ctx context.Context, q *catalog.Queue, id job.ID) (job.State, error) {
+func (m *Manager) State(ctx context.Context, q *catalog.Queue, caller job.Organisation, id job.ID) (job.State, error) {
 	if state := m.stateFromOwner(ctx, q.Pool, id); state != "" {
 		return state, nil
 	}
@@ -168,7 +168,7 @@
 
 // Cancel cancels a job, or returns ErrUnknownJob. After any other error the job may or
 // may not be cancelled.
-func (m *Manager) Cancel(ctx context.Context, q *catalog.Queue, id job.ID) error {
+func (m *Manager) Cancel(ctx context.Context, q *catalog.Queue, caller job.Organisation, id job.ID) error {
 	var err error
 	for range maxCancelAttempts {
 		var done bool
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -7,7 +7,7 @@
 //	m := manager.New(manager.Options{Name: "entry-1", Address: "10.0.0.1:7060"},
 //		store, runners, instances, schema)
 //	go m.Run(ctx, listener)
-//	result, err := m.Submit(ctx, queue, id, spec)
+//	result, err := m.Submit(ctx, queue, caller, id, spec)
 package manager
 
 import (
@@ -90,6 +90,7 @@
 	// HandoverDelay is the least time between the orders of two successive owners for
 	// one instance.
 	HandoverDelay time.Duration
+	Lookahead     pool.Lookahead
 	Logger        *slog.Logger
 	Meter         Meter
 }
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -158,7 +158,7 @@
 	}
 	return pool.Options{
 		Pool: o.name, Fence: pool.Fence(o.tenure.Fence), Epoch: o.tenure.Epoch, Loading: true,
-		Lease: lease, MaxLease: o.m.options.MaxLease,
+		Lease: lease, MaxLease: o.m.options.MaxLease, Lookahead: o.m.options.Lookahead,
 	}.ScaledTo(o.m.options.Capacity)
 }
 
@@ -171,7 +171,7 @@
 	o.m.mu.Unlock()
 	o.logStart(runners, readAt)
 	if c := o.m.catalog.Get(); c != nil {
-		o.reduce(ctx, p, &pool.QueuesChanged{Queues: c.QueueSettings()})
+		o.reduce(ctx, p, &pool.QueuesChanged{Queues: c.QueueSettings(), Organisations: c.Organisations})
 	}
 	if !readAt.IsZero() {
 		o.reduce(ctx, p, runners)
--- a/manager/unfenced_owner_test.go
+++ b/manager/unfenced_owner_test.go
@@ -57,7 +57,7 @@
 		if result, err := o.writer.storeNewJob(ctx, record, value); result != Stored {
 			t.Fatalf("storeNewJob = %v, %v, want stored", result, err)
 		}
-		if err := New(Options{Name: "entry-2"}, store, nil, nil, nil).Cancel(ctx, &catalog.Queue{Name: record.Queue, Pool: name}, testID); err != nil {
+		if err := New(Options{Name: "entry-2"}, store, nil, nil, nil).Cancel(ctx, &catalog.Queue{Name: record.Queue, Pool: name}, "", testID); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(cancelDelay)
