Refuse jobs of a failed part of the store, and forecast no peak after disruptions

Change: a part without a successful transaction for 0.4 s refuses new jobs at once, until a write succeeds or a second has passed without one. A job whose write was lost counts as possibly stored while the write is still being retried. Owners do not extrapolate arrivals until they have seen a whole window since the takeover or the return of the store.

--- a/core/pool/arrivals.go
+++ b/core/pool/arrivals.go
@@ -26,6 +26,9 @@
 // has no arrivals.
 type arrivals struct {
 	queues map[job.QueueName]*queueArrivals
+	// observedSince is when the owner took over or the store last returned after an outage.
+	// Before, not all arrivals were seen, and the callers that return then look like a load peak.
+	observedSince time.Time
 }
 
 // queueArrivals tracks the jobs that arrive through one queue.
@@ -79,16 +82,17 @@
 // time at which instances requested now accept tasks.
 func (a *arrivals) rate(now time.Time) job.MilliCPU {
 	var sum job.MilliCPU // an integer, so that the order of the queues does not affect the sum
+	extrapolated := now.Sub(a.observedSince) >= arrivalWindow
 	for _, q := range a.queues {
-		sum += job.MilliCPU(q.meanWork * q.rate(now))
+		sum += job.MilliCPU(q.meanWork * q.rate(now, extrapolated))
 	}
 	return sum
 }
 
 // rate returns the forecast number of jobs per second. Load peaks grow for
 // seconds: by the time the capacity for the current rate is available, more is
-// needed. Only the part of the growth that exceeds random variation is extrapolated.
-func (q *queueArrivals) rate(now time.Time) float64 {
+// needed. If extrapolated is false, the rate is that of the window. Only the part of the growth that exceeds random variation is extrapolated.
+func (q *queueArrivals) rate(now time.Time, extrapolated bool) float64 {
 	const half = arrivalWindow / 2
 	expired, older, newer := 0, 0.0, 0.0
 	for _, at := range q.arrivedAt {
@@ -103,6 +107,12 @@
 	}
 	q.arrivedAt = q.arrivedAt[expired:]
 	mean := (older + newer) / arrivalWindow.Seconds()
+	if !extrapolated {
+		return mean
+	}
 	growth := max(0, newer-older-math.Sqrt(newer+older)) / half.Seconds() / half.Seconds()
 	return mean + growth*(half+forecastHorizon).Seconds()
 }
+
+// apply implements Event.
+func (StoreReturned) apply(p *Pool, now time.Time) { p.arrivals.observedSince = now }
--- a/core/pool/arrivals_test.go
+++ b/core/pool/arrivals_test.go
@@ -92,3 +92,33 @@
 		t.Errorf("forecast of %d millicores, want about %d", rate, 1000*cores)
 	}
 }
+
+// TestDisruptionIsNoLoadPeak guards against forecasts of many times the demand after a takeover
+// or an outage of the store: jobs arrive from the moment on from which they are seen, which looked
+// like a growth from zero, and the pool kept instances that others needed.
+func TestDisruptionIsNoLoadPeak(t *testing.T) {
+	const perSecond = 40.0
+	for _, c := range []struct {
+		name  string
+		begin func(*harness)
+	}{
+		{"takeover", func(*harness) {}},
+		{"return of the store", func(h *harness) {
+			h.now = h.now.Add(10 * time.Second)
+			h.send(StoreReturned{})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, Options{})
+			c.begin(h)
+			j := arrivingJob(time.Time{})
+			for range int(perSecond) {
+				h.pool.arrivals.add(h.now, j)
+				h.now = h.now.Add(time.Second / perSecond)
+			}
+			if got := float64(h.pool.arrivals.rate(h.now)) / 1000; got > perSecond {
+				t.Errorf("rate = %.0f cores, want at most %.0f", got, perSecond)
+			}
+		})
+	}
+}
--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -23,6 +23,9 @@
 	Organisations *organisation.Directory
 }
 
+// StoreReturned reports the end of an outage of the store.
+type StoreReturned struct{}
+
 // JobStored adds an accepted job.
 type JobStored struct {
 	Record  *job.Record
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -153,6 +153,7 @@
 	return &Pool{
 		options:    options,
 		ownedSince: now,
+		arrivals:   arrivals{observedSince: now},
 		loading:    options.Loading,
 		queues:     map[job.QueueName]QueueSettings{},
 		jobs:       map[job.ID]*jobState{},
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -97,16 +97,20 @@
 	}
 }
 
-// detectStoreReturn records the end of an outage if the feed's last answer is older
+// detectStoreReturn records the end of an outage, and reports it to the pool owners of this
+// process, if the feed's last answer is older
 // than feedOutageThreshold.
 func (m *Manager) detectStoreReturn(lastAnswer time.Time) {
 	if time.Since(lastAnswer) < feedOutageThreshold {
 		return
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.storeReturnedAt = time.Now()
+	m.mu.Unlock()
 	m.logger.Info("store answers again after an outage", "away", time.Since(lastAnswer))
+	for _, o := range m.poolOwners() {
+		o.submit(pool.StoreReturned{})
+	}
 }
 
 // readPart returns all rows of a part and the version of the first page.
--- a/manager/meter.go
+++ b/manager/meter.go
@@ -13,6 +13,7 @@
 	errNoOwner          = errors.New("the pool has no owner for now")
 	errNotSent          = errors.New("the write was not sent in time")
 	errStoreUnavailable = errors.New("the store does not answer")
+	errPartUnavailable  = errors.New("the part of the store that holds the job does not answer")
 	errNoAnswer         = errors.New("the write has no answer in time")
 	// errRefusedByOwner is returned for a failure whose cause the owner has logged.
 	errRefusedByOwner = errors.New("the pool's owner could not store the job")
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -114,6 +114,7 @@
 	// of failed saves that may be stored.
 	uncertainJobs     uncertainJobs
 	uncertainProgress uncertainProgress
+	parts             partHealth
 	// stopped is closed when run has returned.
 	stopped chan struct{}
 }
@@ -142,12 +143,16 @@
 	return w.uncertainJobs.reconcile(time.Now(), record.ID, result), err
 }
 
-// tryStoreNewJob stores a new job. During an outage of the store it returns at once if
-// the write was not sent: waiting for the store would only use up the caller's time.
+// tryStoreNewJob stores a new job. During an outage of the store, or of the part that holds
+// the job, it returns at once if the write was not sent: waiting would only use up the caller's
+// time.
 func (w *writer) tryStoreNewJob(ctx context.Context, record *job.Record, value []byte) (SubmitResult, error) {
 	if w.store.Unavailable() {
 		return NotStored, errStoreUnavailable
 	}
+	if w.parts.unavailable(time.Now(), jobPart(record.Queue, record.ID)) {
+		return NotStored, errPartUnavailable
+	}
 	pending := &write{
 		id: record.ID, queue: record.Queue, value: value,
 		newJob: record, reply: make(chan submitReply, 1),
@@ -184,6 +189,9 @@
 			return submitReply{}, false
 		case <-outageTicker.C:
 			if !w.store.Unavailable() {
+				if w.parts.unavailable(time.Now(), jobPart(pending.queue, pending.id)) && pending.stage.CompareAndSwap(stagePending, stageWithdrawn) {
+					return submitReply{NotStored, errPartUnavailable}, true
+				}
 				continue
 			}
 			if pending.stage.CompareAndSwap(stagePending, stageWithdrawn) {
@@ -286,6 +294,7 @@
 		version, err := w.store.Commit(ctx, &tx)
 		var conflict *table.Conflict
 		var failed *table.Failure
+		w.parts.record(time.Now(), tx.Part, errors.As(err, &failed))
 		switch {
 		case err == nil:
 			for _, pending := range batch {
@@ -310,6 +319,10 @@
 			lost++
 			for _, pending := range batch {
 				pending.maybeStored = true
+				if pending.newJob != nil {
+					// Another submission of the job may arrive before this one has its result.
+					w.uncertainJobs.reconcile(time.Now(), pending.id, MayBeStored)
+				}
 			}
 			w.logger.Warn("store did not answer a write of jobs", "queue", batch[0].queue, "count", len(batch), "error", err)
 			sleep(ctx, retryBackoff.NextBackOff())
