Enforce caps of organisations over all pools by floors and leases

Cause: caps were read from the configuration and nothing enforced them.

The owner of the fleet runs the lender beside its calls to the owners of pools; core/pool starts a task of a capped organisation only within floor plus lease. Calls that carry leases are numbered in their metadata, so that late and reordered ones are recognised.

--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -24,6 +24,7 @@
 // dispatch places as many ready tasks as fit, in the order of their jobs' ranks.
 func (p *Pool) dispatch(now time.Time) {
 	p.reviewReservations(now)
+	p.beginCapReview(now)
 	candidates := p.candidates(now)
 	if len(candidates) == 0 {
 		return
@@ -40,7 +41,7 @@
 				// runners is skipped.
 				// Persistent tasks and gangs are looked at all the same: they reserve room.
 				reserves := step.spec.Persistent || step.spec.Gang
-				if step.ready == 0 || (!reserves && !largest.HasRoomFor(step.spec.Demand())) || !p.mayStart(now, j, step) {
+				if step.ready == 0 || (!reserves && !largest.HasRoomFor(step.spec.Demand())) || !p.mayStart(now, j, step) || p.waitsForCap(now, j, step) {
 					continue
 				}
 				before := step.ready
@@ -106,6 +107,9 @@
 		if t.state != ready || now.Before(t.restartAt) {
 			continue
 		}
+		if p.waitsForCap(now, j, step) {
+			return
+		}
 		r := p.chooseRunner(now, t, usable)
 		switch {
 		case r != nil:
--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -5,10 +5,12 @@
 
 	"bronzestair/core/job"
 	"bronzestair/core/organisation"
+	"bronzestair/core/quota"
 )
 
 // Event is an input of Reduce that changes the state of the pool. JobRemoved and
-// OwnerChanged are declared in save.go, all other events here.
+// OwnerChanged are declared in save.go, OrganisationsSynced in organisation_load.go, all
+// other events here.
 type Event interface {
 	apply(p *Pool, now time.Time)
 }
@@ -21,6 +23,8 @@
 	Queues map[job.QueueName]QueueSettings
 	// Organisations is nil if the configuration names none.
 	Organisations *organisation.Directory
+	// Floor is the pool's part of the caps that it may always use.
+	Floor quota.FloorShare
 }
 
 // JobStored adds an accepted job.
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -38,6 +38,10 @@
 	occurrences []*occurrence
 	// ready counts the tasks that may be placed.
 	ready int
+	// usage is that of the job's organisation, nil if it has none.
+	usage *usage
+	// waitedForCap is true once a task of the job has waited for the organisation's cap.
+	waitedForCap bool
 	// criticalPath is the estimated duration of the longest chain of steps.
 	criticalPath time.Duration
 	// runtimes compares the run times of the queue's tasks with their estimates.
@@ -95,6 +99,7 @@
 		record: e.Record, version: e.Version, progressVersion: e.ProgressVersion,
 		inherited: e.Inherited, criticalPath: e.Record.Spec.CriticalPath(), runtimes: p.runtimesOf(e.Record.Queue),
 	}
+	j.usage = p.usageOf(e.Record.Organisation)
 	j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
 	p.addJob(j)
 	if !j.inherited {
@@ -133,6 +138,7 @@
 // apply implements Event.
 func (e *QueuesChanged) apply(p *Pool, _ time.Time) {
 	p.queues, p.organisations = e.Queues, e.Organisations
+	p.configureCaps(e.Floor)
 	p.dispatchNeeded = true
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -112,6 +112,7 @@
 	queues     map[job.QueueName]QueueSettings
 	// organisations is nil if the configuration names none.
 	organisations *organisation.Directory
+	quotas        quotas
 	jobs          map[job.ID]*jobState
 	// jobOrder and runnerOrder hold the jobs and runners in a fixed order, so that
 	// the same events always produce the same effects.
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -180,6 +180,7 @@
 	}
 	r.addCounts(t, -1)
 	r.used = r.used.Sub(t.step.spec.Demand())
+	t.job.usage.addAssigned(t.step.spec.Resources, -1)
 	t.runner = nil
 }
 
@@ -205,6 +206,7 @@
 	r.tasksByID = slices.Insert(r.tasksByID, index, t)
 	r.addCounts(t, 1)
 	r.used = r.used.Add(t.step.spec.Demand())
+	t.job.usage.addAssigned(t.step.spec.Resources, 1)
 	t.runner = r
 	t.latestRun = RunRef{Run: t.run, Runner: r.ID}
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -38,6 +38,7 @@
 	"bronzestair/core/job"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
+	"bronzestair/core/quota"
 	"bronzestair/core/table"
 	"bronzestair/io/owner/ownerpb"
 )
@@ -89,8 +90,10 @@
 	// WaitingJobs returns the number of the queue's jobs of which no task has started.
 	WaitingJobs(ctx context.Context, name job.PoolName, queue job.QueueName) (int, error)
 	// SyncPool replaces the set of the pool's cordoned runners, which get no new tasks,
-	// and returns the pool's load. Cordons expire unless further calls renew them.
-	SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error)
+	// and returns the pool's load. Cordons expire unless further calls renew them. The
+	// request carries the leases of organisations. It returns an error if a newer request
+	// was applied before.
+	SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID, leases quota.Request) (pool.Report, error)
 	// EndRunner is the notification that an incarnation of a runner has ended. It does
 	// not stop the runner.
 	EndRunner(ctx context.Context, name job.PoolName, ended pool.RunnerEnded) error
@@ -306,9 +309,11 @@
 }
 
 // Sync replaces the set of cordoned runners at the owner of a pool and returns the
-// pool's load. The cordons expire unless further calls renew them.
-func (p *Peers) Sync(ctx context.Context, address string, name job.PoolName, cordoned []pool.RunnerID) (report pool.Report, err error) {
-	request := &ownerpb.SyncRequest{Pool: string(name)}
+// pool's load. The cordons expire unless further calls renew them. The call carries the leases
+// of organisations.
+func (p *Peers) Sync(ctx context.Context, address string, name job.PoolName, cordoned []pool.RunnerID, leases quota.Request) (report pool.Report, err error) {
+	request := &ownerpb.SyncRequest{Pool: string(name), Organisations: encodeLeases(leases)}
+	ctx = withLeaseCall(ctx, leases.Call)
 	for _, id := range cordoned {
 		request.Cordoned = append(request.Cordoned, string(id))
 	}
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -10,6 +10,7 @@
 
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
+	"bronzestair/core/quota"
 
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/grpc/codes"
@@ -49,7 +50,7 @@
 	return 0, ErrNotOwner
 }
 
-func (strangerHandler) SyncPool(context.Context, job.PoolName, []pool.RunnerID) (pool.Report, error) {
+func (strangerHandler) SyncPool(context.Context, job.PoolName, []pool.RunnerID, quota.Request) (pool.Report, error) {
 	return pool.Report{}, ErrNotOwner
 }
 
@@ -81,7 +82,7 @@
 		"Submit":    func() error { _, err := p.Submit(ctx, address, "booking", nil); return err },
 		"State":     func() error { _, err := p.State(ctx, address, "booking", "1"); return err },
 		"Waiting":   func() error { _, err := p.Waiting(ctx, address, "booking", "seats"); return err },
-		"Sync":      func() error { _, err := p.Sync(ctx, address, "booking", nil); return err },
+		"Sync":      func() error { _, err := p.Sync(ctx, address, "booking", nil, quota.Request{}); return err },
 		"EndRunner": func() error { return p.EndRunner(ctx, address, "booking", pool.RunnerEnded{Runner: "r1"}) },
 		"Yield":     func() error { return p.Yield(ctx, address, "pool/booking") },
 	} {
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -55,7 +55,11 @@
 	for _, id := range in.GetCordoned() {
 		cordoned = append(cordoned, pool.RunnerID(id))
 	}
-	report, err := s.handler.SyncPool(ctx, job.PoolName(in.GetPool()), cordoned)
+	call, err := leaseCall(ctx)
+	if err != nil {
+		return nil, err
+	}
+	report, err := s.handler.SyncPool(ctx, job.PoolName(in.GetPool()), cordoned, decodeLeases(call, in.GetOrganisations()))
 	return encodeReport(&report), statusError(err)
 }
 
@@ -88,6 +92,7 @@
 		RunningCpu: int64(r.RunningCPU), ReadyCpu: int64(r.ReadyCPU), Recovered: r.Recovered,
 		RunningMemory: int64(r.RunningMemory), ReadyMemory: int64(r.ReadyMemory), Spread: int64(r.Spread),
 		Arriving: int64(r.Arriving), Backlog: int64(r.Backlog),
+		Organisations: encodeLoads(r.Organisations),
 	}
 	for _, line := range r.Runners {
 		reply.Runners = append(reply.Runners, &ownerpb.SyncReply_Runner{
@@ -105,6 +110,7 @@
 		Recovered: reply.GetRecovered(), Spread: int(reply.GetSpread()),
 		Arriving: job.MilliCPU(reply.GetArriving()), Backlog: job.MilliCPU(reply.GetBacklog()),
 		RunningMemory: job.MiB(reply.GetRunningMemory()), ReadyMemory: job.MiB(reply.GetReadyMemory()),
+		Organisations: decodeLoads(reply.GetOrganisations()),
 	}
 	for _, line := range reply.GetRunners() {
 		r.Runners = append(r.Runners, pool.RunnerReport{
--- a/manager/fleet_owner.go
+++ b/manager/fleet_owner.go
@@ -10,6 +10,7 @@
 	"bronzestair/core/maintenance"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
+	"bronzestair/core/quota"
 	"bronzestair/core/table"
 )
 
@@ -49,6 +50,8 @@
 	// that previous owners have stored.
 	seenWaves   map[maintenance.WaveNumber]bool
 	storedWaves map[maintenance.WaveNumber]waveRecord
+	// lending lends the caps of organisations to the pools.
+	lending lending
 	// catalogVersion is the version of the configuration last passed to the planner.
 	catalogVersion int64
 }
@@ -59,6 +62,7 @@
 		inbox: make(chan maintenance.Event, inboxSize), done: make(chan struct{}),
 		pendingRows: make(chan table.Row, inboxSize),
 		seenWaves:   map[maintenance.WaveNumber]bool{},
+		lending:     lending{m: m, lender: quota.NewLender(uint64(tenure.Fence), time.Now())},
 	}
 }
 
@@ -72,6 +76,7 @@
 // run feeds the planner until the context ends.
 func (f *fleetOwner) run(ctx context.Context) {
 	defer close(f.done)
+	defer f.lending.end()
 	var options maintenance.Options
 	if previous := f.tenure.PreviousHolder; previous != "" && previous != f.m.options.Name {
 		delay := f.m.options.HandoverDelay
@@ -162,38 +167,51 @@
 	}
 }
 
-// syncPools sends each pool's owner the runners to cordon, and passes the report on its
-// load to the planner.
+// syncPools sends each pool's owner the runners to cordon and the leases of organisations, and
+// passes the report on its load to the planner.
 func (f *fleetOwner) syncPools(ctx context.Context, cordons map[job.PoolName][]pool.RunnerID) {
 	c := f.m.catalog.Get()
 	if c == nil {
 		return
 	}
+	leases := f.lending.plan(c)
 	for _, p := range c.Pools {
 		go f.m.guardShard(ctx, fleetShard, func() {
-			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-			defer cancel()
-			report, err := f.m.syncPool(ctx, p.Name, cordons[p.Name])
-			if err != nil {
-				f.m.logger.Info("cannot sync with pool owner", "pool", p.Name, "error", err)
-				return
+			if report, ok := f.syncPool(ctx, p.Name, cordons[p.Name], leases[p.Name]); ok {
+				f.submit(&maintenance.PoolReported{Report: report})
 			}
-			f.submit(&maintenance.PoolReported{Report: report})
 		})
+		delete(leases, p.Name)
+	}
+	for name, request := range leases { // pools with an owner that are not configured
+		go f.m.guardShard(ctx, fleetShard, func() { f.syncPool(ctx, name, nil, request) })
+	}
+}
+
+// syncPool syncs with the owner of a pool and returns its report.
+func (f *fleetOwner) syncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID, leases quota.Request) (pool.Report, bool) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	report, err := f.m.syncPool(ctx, name, cordoned, leases)
+	if err != nil {
+		f.m.logger.Info("cannot sync with pool owner", "pool", name, "error", err)
+		return report, false
 	}
+	f.lending.reported(name, leases.Number, &report)
+	return report, true
 }
 
 // syncPool cordons runners at a pool's owner, in this process or a peer, and returns
 // the pool's load.
-func (m *Manager) syncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error) {
+func (m *Manager) syncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID, leases quota.Request) (pool.Report, error) {
 	if o := m.localOwner(name); o != nil {
-		return o.cordonAndReport(ctx, cordoned)
+		return o.cordonAndReport(ctx, cordoned, leases)
 	}
 	address := m.ownerAddress(name)
 	if address == "" {
 		return pool.Report{}, errNoOwner
 	}
-	return m.peers.Sync(ctx, address, name, cordoned)
+	return m.peers.Sync(ctx, address, name, cordoned, leases)
 }
 
 // perform carries out an effect and submits its result to the planner.
--- a/manager/follow.go
+++ b/manager/follow.go
@@ -172,10 +172,11 @@
 	current := m.catalog.Get()
 	m.mu.Lock()
 	m.queuePools.update(time.Now(), current)
+	m.configureFloors(current)
 	m.mu.Unlock()
 	settings := current.QueueSettings()
 	for _, o := range m.poolOwners() {
-		o.submit(&pool.QueuesChanged{Queues: settings, Organisations: current.Organisations})
+		o.submit(&pool.QueuesChanged{Queues: settings, Organisations: current.Organisations, Floor: m.floorShare(o.name)})
 	}
 }
 
--- a/manager/manager.go
+++ b/manager/manager.go
@@ -27,6 +27,7 @@
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/core/process"
+	"bronzestair/core/quota"
 	"bronzestair/core/table"
 	"bronzestair/io/owner"
 )
@@ -131,6 +132,8 @@
 	fleet   *fleetOwner
 	// queuePools holds the pools in which queues may have jobs besides their present ones.
 	queuePools queuePools
+	// floors divides the caps of organisations among the pools.
+	floors quota.Floors
 	// registrations and waves are copies of the rows in the shared tables.
 	// registrations is kept while this entry owns a shard, see followRunners.
 	registrations       map[string]registration
@@ -282,4 +285,4 @@
 	return claim.Address
 }
 
-func poolShard(name job.PoolName) ownership.Shard { return ownership.Shard("pool/" + string(name)) }
+func poolShard(name job.PoolName) ownership.Shard { return ownership.Shard(poolShardPrefix + string(name)) }
--- a/manager/meter.go
+++ b/manager/meter.go
@@ -6,6 +6,7 @@
 
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
+	"bronzestair/core/quota"
 )
 
 // Reasons why a job is not stored or not known to be stored.
@@ -31,6 +32,9 @@
 	// SilentRunners sets the number of runners that do not answer and the number of
 	// tasks on them.
 	SilentRunners(name job.PoolName, runners, tasks int)
+	// OrganisationQuota sets the cap of an organisation, what is lent of it and what is in
+	// use over all pools.
+	OrganisationQuota(s quota.Status)
 }
 
 // nopMeter records nothing.
@@ -42,3 +46,4 @@
 func (nopMeter) RunnerCalled(CallKind, pool.CallResult, time.Duration) {}
 func (nopMeter) DuplicateCompletion(job.PoolName)                      {}
 func (nopMeter) SilentRunners(job.PoolName, int, int)                  {}
+func (nopMeter) OrganisationQuota(quota.Status)                        {}
--- a/manager/peer_handler.go
+++ b/manager/peer_handler.go
@@ -8,6 +8,7 @@
 	"bronzestair/core/job"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
+	"bronzestair/core/quota"
 	"bronzestair/io/owner"
 )
 
@@ -55,30 +56,42 @@
 }
 
 // SyncPool replaces the set of the pool's cordoned runners and returns the pool's load.
-// The cordons expire after cordonTimeout unless they are renewed.
-func (m *Manager) SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error) {
+// The cordons expire after cordonTimeout unless they are renewed. It returns an error if a newer
+// request with leases was applied before.
+func (m *Manager) SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID, leases quota.Request) (pool.Report, error) {
 	o := m.localOwner(name)
 	if o == nil {
 		return pool.Report{}, owner.ErrNotOwner
 	}
-	return o.cordonAndReport(ctx, cordoned)
+	return o.cordonAndReport(ctx, cordoned, leases)
 }
 
-func (o *poolOwner) cordonAndReport(ctx context.Context, cordoned []pool.RunnerID) (pool.Report, error) {
+func (o *poolOwner) cordonAndReport(ctx context.Context, cordoned []pool.RunnerID, leases quota.Request) (pool.Report, error) {
 	set := make(map[pool.RunnerID]bool, len(cordoned))
 	for _, id := range cordoned {
 		set[id] = true
 	}
 	var report pool.Report
+	var err error
 	ok := o.runQuery(ctx, func(ctx context.Context, p *pool.Pool) {
+		events := []pool.Event{&pool.RunnersCordoned{Runners: set}}
+		synced, applyErr := o.applyLeases(leases)
+		if applyErr != nil {
+			err = applyErr
+			return
+		}
+		if synced != nil {
+			events = append(events, synced)
+		}
 		o.lastCordoned = time.Now()
-		o.reduce(ctx, p, &pool.RunnersCordoned{Runners: set})
+		o.reduce(ctx, p, events...)
 		report = p.Report(time.Now())
+		o.leases.Answered(time.Now(), leases.Call)
 	})
 	if !ok {
 		return report, owner.ErrNotOwner
 	}
-	return report, nil
+	return report, err
 }
 
 // EndRunner notifies the pool's owner that an incarnation of a runner has ended. It does
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -9,6 +9,7 @@
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/core/process"
+	"bronzestair/core/quota"
 )
 
 // Timing of a pool's owner.
@@ -64,6 +65,8 @@
 	delegatesRevisedAt time.Time
 	capacity           process.Capacity
 
+	// leases are those of organisations in the pool.
+	leases quota.Holder
 	// lastCordoned is when cordons were last received, or zero if they have expired.
 	lastCordoned time.Time
 	// startedAt is when the ownership began. recovered is true once observe has logged
@@ -171,7 +174,7 @@
 	o.m.mu.Unlock()
 	o.logStart(runners, readAt)
 	if c := o.m.catalog.Get(); c != nil {
-		o.reduce(ctx, p, &pool.QueuesChanged{Queues: c.QueueSettings(), Organisations: c.Organisations})
+		o.reduce(ctx, p, &pool.QueuesChanged{Queues: c.QueueSettings(), Organisations: c.Organisations, Floor: o.m.floorShare(o.name)})
 	}
 	if !readAt.IsZero() {
 		o.reduce(ctx, p, runners)
