--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -39,6 +39,9 @@
 	// Spread is the minimum number of instances that the steps with MaxPerInstance need.
 	Spread    int
 	Recovered bool
+	// Fence is the fencing token of the owner that reports. It is carried only with the load
+	// of organisations.
+	Fence Fence
 	// Organisations is empty if the configuration names none.
 	Organisations []OrganisationLoad
 }
@@ -48,7 +51,7 @@
 
 // Report returns the pool's load.
 func (p *Pool) Report(now time.Time) Report {
-	report := Report{Pool: p.options.Pool, Recovered: p.Recovered(now)}
+	report := Report{Pool: p.options.Pool, Fence: p.options.Fence, Recovered: p.Recovered(now)}
 	for _, r := range p.runnerOrder {
 		runner := RunnerReport{
 			Runner: r.ID, Used: r.used, Capacity: r.Capacity, Cordoned: r.cordoned, Usable: r.usable(now),
--- a/core/quota/allocate.go
+++ b/core/quota/allocate.go
@@ -11,6 +11,9 @@
 // need not wait for a lease. The rest is kept for the pool that needs it first.
 const slackFraction = 0.5
 
+// toleratedExcess is the part of a cap by which its use may exceed it.
+const toleratedExcess = 0.1
+
 // allocation is the division of one resource of a cap.
 type allocation struct {
 	limit int64
@@ -54,8 +57,9 @@
 			slack++
 		}
 	}
-	if budget <= 0 {
-		return // the cap is used up, or was lowered below what is running
+	if budget < 0 {
+		a.reduceTargets(-budget)
+		return
 	}
 	spare := int64(0)
 	if needed < budget && slack > 0 {
@@ -75,10 +79,36 @@
 	}
 }
 
+// reduceTargets sets the leases if more is in use than the cap. A small excess, as that of a
+// whole task beyond the leases, is taken from the leases in use, so that the pools go on replacing
+// tasks that end. A larger one, as after the cap was lowered, ends all leases.
+func (a *allocation) reduceTargets(excess int64) {
+	inUse := int64(0)
+	for i := range a.pools {
+		inUse += max(0, a.pools[i].bound-a.pools[i].floor)
+	}
+	if float64(excess) > toleratedExcess*float64(a.limit) || excess >= inUse {
+		return
+	}
+	for i := range a.pools {
+		p := &a.pools[i]
+		p.target = int64(float64(max(0, p.bound-p.floor)) * (float64(inUse-excess) / float64(inUse)))
+	}
+}
+
 // setLeases moves the leases towards their targets. A lease that is lowered counts until the
-// pool has acknowledged it or it has expired, so others can be raised only then.
+// pool has acknowledged it or it has expired, so others can be raised only then. While more than
+// the cap is committed, none is raised, not even to what is in use: that may be the capacity
+// of runners that have not answered, and a lease would permit to fill them.
 func (a *allocation) setLeases() {
-	free := max(0, a.limit-a.committed())
+	free := a.limit - a.committed()
+	if free < 0 {
+		for i := range a.pools {
+			p := &a.pools[i]
+			p.lease = min(p.target, p.held)
+		}
+		return
+	}
 	wanted := int64(0)
 	for i := range a.pools {
 		p := &a.pools[i]
--- a/core/quota/lender.go
+++ b/core/quota/lender.go
@@ -48,6 +48,9 @@
 
 // Report is what the owner of a pool reports. Organisations without an entry have no load.
 type Report struct {
+	// Fence is the fencing token of the owner. Reports of an owner are ignored after those of
+	// a newer one.
+	Fence    uint64
 	Capacity job.MilliCPU
 	// Recovered is false while the owner does not know all runs of previous owners. Used
 	// then includes what they may be.
@@ -78,6 +81,8 @@
 	reportedAt    time.Time
 	capacityKnown bool
 	capacity      job.MilliCPU
+	// owner is the fencing token of the newest owner that has reported.
+	owner uint64
 	// answered is the number of the last call that was answered.
 	answered int64
 	// sends holds the last answered call and the later ones whose leases may be in force.
@@ -258,7 +263,7 @@
 // Reported applies the report with which a pool has answered a call.
 func (l *Lender) Reported(now time.Time, name job.PoolName, number int64, report Report) {
 	p := l.pools[name]
-	if p == nil || number <= p.answered {
+	if p == nil || number <= p.answered || report.Fence < p.owner {
 		return
 	}
 	index := slices.IndexFunc(p.sends, func(s send) bool { return s.number == number })
@@ -281,7 +286,7 @@
 		}
 	}
 	p.sends = append([]send{answered}, p.sends[index+1:]...)
-	p.answered, p.bounds, p.loads, p.reportedAt = number, bounds, report.Loads, now
+	p.owner, p.answered, p.bounds, p.loads, p.reportedAt = report.Fence, number, bounds, report.Loads, now
 	for organisation, permitted := range p.wholeTasks {
 		if number > permitted {
 			delete(p.wholeTasks, organisation)
--- a/io/owner/organisations.go
+++ b/io/owner/organisations.go
@@ -6,8 +6,10 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
@@ -22,6 +24,25 @@
 // "fence.number.answered", see quota.Call. Calls without organisations lack it.
 const leaseCallKey = "bronzestair-lease-call"
 
+// ownerFenceKey is the key of the metadata of the answer to such a call, with the fencing token of
+// the pool's owner.
+const ownerFenceKey = "bronzestair-owner-fence"
+
+// sendOwnerFence adds the fencing token of the owner to the metadata of an answer.
+func sendOwnerFence(ctx context.Context, fence pool.Fence) error {
+	return grpc.SetHeader(ctx, metadata.Pairs(ownerFenceKey, strconv.FormatUint(uint64(fence), 10)))
+}
+
+// ownerFence returns the fencing token in the metadata of an answer, 0 if there is none.
+func ownerFence(header metadata.MD) (pool.Fence, error) {
+	values := header.Get(ownerFenceKey)
+	if len(values) == 0 {
+		return 0, nil
+	}
+	fence, err := strconv.ParseUint(values[0], 10, 64)
+	return pool.Fence(fence), err
+}
+
 // withLeaseCall adds the identification of a call to its metadata.
 func withLeaseCall(ctx context.Context, c quota.Call) context.Context {
 	if c == (quota.Call{}) {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -33,6 +33,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"bronzestair/core/job"
@@ -318,10 +319,13 @@
 		request.Cordoned = append(request.Cordoned, string(id))
 	}
 	err = p.call(address, func(c ownerpb.OwnerClient) error {
-		reply, err := c.Sync(ctx, request)
-		if err == nil {
-			report = decodeReport(name, reply)
+		var header metadata.MD
+		reply, err := c.Sync(ctx, request, grpc.Header(&header))
+		if err != nil {
+			return err
 		}
+		report = decodeReport(name, reply)
+		report.Fence, err = ownerFence(header)
 		return err
 	})
 	return report, err
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -10,6 +10,7 @@
 
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
+	"bronzestair/core/quota"
 	"bronzestair/io/owner/ownerpb"
 )
 
@@ -60,6 +61,9 @@
 		return nil, err
 	}
 	report, err := s.handler.SyncPool(ctx, job.PoolName(in.GetPool()), cordoned, decodeLeases(call, in.GetOrganisations()))
+	if err == nil && call != (quota.Call{}) {
+		err = sendOwnerFence(ctx, report.Fence)
+	}
 	return encodeReport(&report), statusError(err)
 }
 
--- a/manager/lending.go
+++ b/manager/lending.go
@@ -10,6 +10,7 @@
 	"bronzestair/core/job"
 	"bronzestair/core/pool"
 	"bronzestair/core/quota"
+	"bronzestair/io/owner"
 )
 
 const (
@@ -39,12 +40,15 @@
 }
 
 // plan returns the leases of each pool that is configured or has an owner, or nil if the
-// configuration has no organisations.
+// configuration has no organisations or another entry may own the fleet.
 func (l *lending) plan(c *catalog.Catalog) map[job.PoolName]quota.Request {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	all := c.Organisations.All()
+	if len(all) > 0 && !l.m.ownershipValid(fleetShard) {
+		return nil
+	}
 	if len(all) == 0 {
 		l.lender.Suspend()
 		l.meter(nil)
@@ -90,7 +94,7 @@
 	if number == 0 {
 		return // the call carried no leases
 	}
-	converted := quota.Report{Recovered: report.Recovered, Loads: make(map[job.Organisation]quota.Load, len(report.Organisations))}
+	converted := quota.Report{Fence: uint64(report.Fence), Recovered: report.Recovered, Loads: make(map[job.Organisation]quota.Load, len(report.Organisations))}
 	for _, r := range report.Runners {
 		converted.Capacity += r.Capacity.CPU
 	}
@@ -161,6 +165,9 @@
 	if r.Call == (quota.Call{}) {
 		return nil, nil
 	}
+	if !o.m.ownershipValid(o.shard) {
+		return nil, owner.ErrNotOwner // the report of a former owner may lack what its successor started
+	}
 	if !o.leases.Apply(time.Now(), r) {
 		return nil, errSupersededSync
 	}
