--- a/manager/lending.go
+++ b/manager/lending.go
@@ -60,9 +60,7 @@
 	}
 	l.lender.Configure(now, l.m.lendingPools(now, c), organisations)
 	requests := l.lender.Plan(now)
-	for _, change := range l.lender.Changes(now) {
-		l.m.logger.Info("leases changed", "organisation", change.Organisation, "leases", change.Leases, "dataAge", change.ReportAge)
-	}
+	l.logChanges(now)
 	if now.Sub(l.meteredAt) >= meterInterval {
 		l.meteredAt = now
 		l.meter(l.lender.Status())
@@ -70,6 +68,13 @@
 	return requests
 }
 
+// logChanges logs the leases that have changed, at most one line a second and organisation.
+func (l *lending) logChanges(now time.Time) {
+	for _, change := range l.lender.Changes(now) {
+		l.m.logger.Info("leases changed", "organisation", change.Organisation, "leases", change.Leases, "dataAge", change.ReportAge)
+	}
+}
+
 // lendingPools returns the pools that are configured or have an owner.
 func (m *Manager) lendingPools(now time.Time, c *catalog.Catalog) []quota.Pool {
 	m.mu.Lock()
--- /dev/null
+++ b/manager/lending_test.go
@@ -0,0 +1,164 @@
+package manager
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/catalog"
+	"bronzestair/core/job"
+	"bronzestair/core/organisation"
+	"bronzestair/core/pool"
+	"bronzestair/core/quota"
+	"bronzestair/io/owner"
+)
+
+// quotaRecorder keeps the last status of each organisation.
+type quotaRecorder struct {
+	nopMeter
+	last map[job.Organisation]quota.Status
+}
+
+func (m *quotaRecorder) OrganisationQuota(s quota.Status) { m.last[s.Organisation] = s }
+
+func organisationsOf(t *testing.T, count int, limit job.Resources) *organisation.Directory {
+	t.Helper()
+	var all []organisation.Credentials
+	for n := range count {
+		all = append(all, organisation.Credentials{Organisation: organisation.Organisation{
+			Name: job.Organisation(fmt.Sprintf("org-%03d", n)), Weight: 1, Cap: limit,
+		}})
+	}
+	directory, err := organisation.NewDirectory(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return directory
+}
+
+// TestMetricsOfOrganisationsAreBounded guards against one time series for each of any number of
+// organisations, and against values that stay after the owner of the fleet has changed.
+func TestMetricsOfOrganisationsAreBounded(t *testing.T) {
+	recorder := &quotaRecorder{last: map[job.Organisation]quota.Status{}}
+	l := lending{m: &Manager{options: Options{Meter: recorder}}}
+	var all []quota.Status
+	for n := range maxMeteredOrganisations + 20 {
+		all = append(all, quota.Status{Organisation: job.Organisation(fmt.Sprintf("org-%03d", n)), Cap: job.Resources{CPU: 10}, Lent: job.Resources{CPU: 3}, Used: job.Resources{CPU: 2}})
+	}
+	l.meter(all)
+	if len(recorder.last) != maxMeteredOrganisations+1 {
+		t.Errorf("%d organisations have metrics, want %d", len(recorder.last), maxMeteredOrganisations+1)
+	}
+	want := quota.Status{Organisation: otherOrganisations, Cap: job.Resources{CPU: 200}, Lent: job.Resources{CPU: 60}, Used: job.Resources{CPU: 40}}
+	if diff := cmp.Diff(want, recorder.last[otherOrganisations]); diff != "" {
+		t.Errorf("the rest (-want +got):\n%s", diff)
+	}
+	l.end()
+	for name, status := range recorder.last {
+		if diff := cmp.Diff(quota.Status{Organisation: name}, status); diff != "" {
+			t.Errorf("after the end (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// TestOwnerAppliesLeases guards against leases of a late call or of a former owner of the fleet,
+// and against a report of an owner whose claim has ended.
+func TestOwnerAppliesLeases(t *testing.T) {
+	o, _ := newLoggedOwner(t, nil, nil)
+	request := func(fence uint64, number, answered int64) quota.Request {
+		return quota.Request{
+			Call: quota.Call{Fence: fence, Number: number, Answered: answered}, Valid: quota.LeaseTime,
+			Grants: map[job.Organisation]quota.Grant{"weaver": {Lent: job.Resources{CPU: 5}, WholeTask: true, Elsewhere: 2}},
+		}
+	}
+	event, err := o.applyLeases(quota.Request{})
+	if event != nil || err != nil {
+		t.Errorf("event without organisations = %v, %v, want none", event, err)
+	}
+	if _, err := o.applyLeases(request(8, 1, 0)); err != nil {
+		t.Errorf("first call: %v", err)
+	}
+	answeredAt := time.Now()
+	o.leases.Answered(answeredAt, quota.Call{Fence: 8, Number: 1})
+	event, err = o.applyLeases(request(8, 2, 1))
+	want := pool.Event(&pool.OrganisationsSynced{Leases: map[job.Organisation]pool.OrganisationLease{
+		"weaver": {Lent: job.Resources{CPU: 5}, WholeTask: true, Elsewhere: 2, Until: answeredAt.Add(quota.LeaseTime)},
+	}})
+	if diff := cmp.Diff(want, event); diff != "" || err != nil {
+		t.Errorf("event of the second call, error %v (-want +got):\n%s", err, diff)
+	}
+	for _, r := range []quota.Request{request(8, 2, 1), request(7, 9, 0)} {
+		if _, err := o.applyLeases(r); !errors.Is(err, errSupersededSync) {
+			t.Errorf("call %v: error = %v, want %v", r.Call, err, errSupersededSync)
+		}
+	}
+	o.m.tracker.Drop(o.shard)
+	if _, err := o.applyLeases(request(8, 3, 2)); !errors.Is(err, owner.ErrNotOwner) {
+		t.Errorf("error after the claim has ended = %v, want %v", err, owner.ErrNotOwner)
+	}
+}
+
+// TestLendingFromFleetToPool guards against leases that do not reach the owner of a pool in the
+// same process, and against a change of a lease without a log line.
+func TestLendingFromFleetToPool(t *testing.T) {
+	o, log := newLoggedOwner(t, nil, nil)
+	c := &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: o.name}}, Organisations: organisationsOf(t, 1, job.Resources{CPU: 8000})}
+	o.m.catalog.Replace(c)
+	o.m.configurationChanged()
+	l := lending{m: o.m, lender: quota.NewLender(50, time.Now())}
+	if l.plan(c) != nil {
+		t.Error("leases are planned without a claim on the fleet")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p := pool.New(pool.Options{Pool: o.name, Fence: 41, Epoch: 1}, time.Now())
+	p.Reduce(time.Now(), &pool.QueuesChanged{Organisations: c.Organisations, Floor: o.m.floorShare(o.name)}, &pool.RunnersListed{})
+	o.m.pools[o.name] = o
+	go func() {
+		for {
+			select {
+			case query := <-o.queries:
+				query(ctx, p)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	now := time.Now()
+	l.lender.Configure(now, o.m.lendingPools(now, c), []quota.Organisation{{Name: "org-000", Cap: job.Resources{CPU: 8000}}})
+	var report pool.Report
+	for range 3 {
+		for name, request := range l.lender.Plan(now) {
+			var err error
+			if report, err = o.m.syncPool(ctx, name, nil, request); err != nil {
+				t.Fatal(err)
+			}
+			l.reported(name, request.Number, &report)
+		}
+	}
+	// The pool has no runners, so the cap exceeds the capacity of all instances.
+	wantLoad := []pool.OrganisationLoad{{Organisation: "org-000", Lent: job.Resources{CPU: 8000}}}
+	if diff := cmp.Diff(wantLoad, report.Organisations); diff != "" {
+		t.Errorf("report of the pool (-want +got):\n%s", diff)
+	}
+	log.Reset()
+	l.logChanges(now)
+	var line struct{ Msg, Organisation, Leases string }
+	if err := json.Unmarshal(bytes.TrimSpace(log.Bytes()), &line); err != nil {
+		t.Fatalf("log %q: %v", log, err)
+	}
+	if diff := cmp.Diff(struct{ Msg, Organisation, Leases string }{"leases changed", "org-000", "booking=8000/0/0"}, line); diff != "" {
+		t.Errorf("log line (-want +got):\n%s", diff)
+	}
+	log.Reset()
+	l.logChanges(now)
+	if log.Len() > 0 {
+		t.Errorf("log of an unchanged lease = %s, want none", log)
+	}
+}
