--- a/manager/manager.go
+++ b/manager/manager.go
@@ -285,4 +285,6 @@
 	return claim.Address
 }
 
-func poolShard(name job.PoolName) ownership.Shard { return ownership.Shard(poolShardPrefix + string(name)) }
+func poolShard(name job.PoolName) ownership.Shard {
+	return ownership.Shard(poolShardPrefix + string(name))
+}
