--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -33,11 +33,13 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"bronzestair/core/job"
 	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
+	"bronzestair/core/quota"
 	"bronzestair/core/table"
 	"bronzestair/io/owner/ownerpb"
 )
@@ -89,8 +91,10 @@
 	// WaitingJobs returns the number of the queue's jobs of which no task has started.
 	WaitingJobs(ctx context.Context, name job.PoolName, queue job.QueueName) (int, error)
 	// SyncPool replaces the set of the pool's cordoned runners, which get no new tasks,
-	// and returns the pool's load. Cordons expire unless further calls renew them.
-	SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID) (pool.Report, error)
+	// and returns the pool's load. Cordons expire unless further calls renew them. The
+	// request carries the leases of organisations. It returns an error if a newer request
+	// was applied before.
+	SyncPool(ctx context.Context, name job.PoolName, cordoned []pool.RunnerID, leases quota.Request) (pool.Report, error)
 	// EndRunner is the notification that an incarnation of a runner has ended. It does
 	// not stop the runner.
 	EndRunner(ctx context.Context, name job.PoolName, ended pool.RunnerEnded) error
@@ -306,17 +310,22 @@
 }
 
 // Sync replaces the set of cordoned runners at the owner of a pool and returns the
-// pool's load. The cordons expire unless further calls renew them.
-func (p *Peers) Sync(ctx context.Context, address string, name job.PoolName, cordoned []pool.RunnerID) (report pool.Report, err error) {
-	request := &ownerpb.SyncRequest{Pool: string(name)}
+// pool's load. The cordons expire unless further calls renew them. The call carries the leases
+// of organisations.
+func (p *Peers) Sync(ctx context.Context, address string, name job.PoolName, cordoned []pool.RunnerID, leases quota.Request) (report pool.Report, err error) {
+	request := &ownerpb.SyncRequest{Pool: string(name), Organisations: encodeLeases(leases)}
+	ctx = withLeaseCall(ctx, leases.Call)
 	for _, id := range cordoned {
 		request.Cordoned = append(request.Cordoned, string(id))
 	}
 	err = p.call(address, func(c ownerpb.OwnerClient) error {
-		reply, err := c.Sync(ctx, request)
-		if err == nil {
-			report = decodeReport(name, reply)
+		var header metadata.MD
+		reply, err := c.Sync(ctx, request, grpc.Header(&header))
+		if err != nil {
+			return err
 		}
+		report = decodeReport(name, reply)
+		report.Fence, err = ownerFence(header)
 		return err
 	})
 	return report, err
