--- a/core/quota/allocate.go
+++ b/core/quota/allocate.go
@@ -8,7 +8,8 @@
 )
 
 // slackFraction is the part of what no pool needs that is lent all the same, so that new demand
-// need not wait for a lease. The rest is kept for the pool that needs it first.
+// need not wait for a lease. It goes to the pools that use the cap, as their demand grows next. The
+// rest is kept for the pool that needs it first.
 const slackFraction = 0.5
 
 // toleratedExcess is the part of a cap by which its use may exceed it.
@@ -46,7 +47,7 @@
 // setTargets sets the leases that the pools shall have: what they use beyond their floors, and
 // the rest of the cap in proportion to the waiting demand.
 func (a *allocation) setTargets() {
-	budget, needed, slack := a.limit, int64(0), int64(0)
+	budget, needed, slack, demand := a.limit, int64(0), int64(0), int64(0)
 	needs := make([]int64, len(a.pools))
 	for i := range a.pools {
 		p := &a.pools[i]
@@ -55,15 +56,16 @@
 		needed += needs[i]
 		if p.slack {
 			slack++
+			demand += p.bound + p.waiting
 		}
 	}
 	if budget < 0 {
 		a.reduceTargets(-budget)
 		return
 	}
-	spare := int64(0)
+	spare := 0.0
 	if needed < budget && slack > 0 {
-		spare = int64(float64(budget-needed)*slackFraction) / slack
+		spare = float64(budget-needed) * slackFraction
 	}
 	for i := range a.pools {
 		p := &a.pools[i]
@@ -73,8 +75,12 @@
 		} else {
 			p.target += int64(float64(budget) * (float64(needs[i]) / float64(needed)))
 		}
-		if p.slack {
-			p.target += spare
+		switch {
+		case !p.slack:
+		case demand > 0:
+			p.target += int64(spare * float64(p.bound+p.waiting) / float64(demand))
+		default:
+			p.target += int64(spare / float64(slack))
 		}
 	}
 }
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -112,5 +112,8 @@
 	h.answers = append(h.answers, heldAnswer{number: c.Number, at: now})
 }
 
+// LastCall returns the call of the last request that was applied.
+func (h *Holder) LastCall() Call { return h.last }
+
 // Leases returns the leases as of the last request. They may have expired since.
 func (h *Holder) Leases() map[job.Organisation]Lease { return h.leases }
--- a/manager/lending_test.go
+++ b/manager/lending_test.go
@@ -14,6 +14,7 @@
 	"bronzestair/core/catalog"
 	"bronzestair/core/job"
 	"bronzestair/core/organisation"
+	"bronzestair/core/ownership"
 	"bronzestair/core/pool"
 	"bronzestair/core/quota"
 	"bronzestair/io/owner"
@@ -162,3 +163,44 @@
 		t.Errorf("log of an unchanged lease = %s, want none", log)
 	}
 }
+
+// TestSyncCarriesLeases guards against calls to the owners of pools without their leases: the
+// requests were read after they had been deleted, and no organisation got more than its floor.
+func TestSyncCarriesLeases(t *testing.T) {
+	o, _ := newLoggedOwner(t, nil, nil)
+	c := &catalog.Catalog{Version: 1, Pools: []catalog.Pool{{Name: o.name}}, Organisations: organisationsOf(t, 1, job.Resources{CPU: 8000})}
+	o.m.catalog.Replace(c)
+	o.m.configurationChanged()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p := pool.New(pool.Options{Pool: o.name, Fence: 41, Epoch: 1}, time.Now())
+	o.m.pools[o.name] = o
+	go func() {
+		for {
+			select {
+			case query := <-o.queries:
+				query(ctx, p)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var tenure ownership.Tenure
+	for range 10 {
+		o.m.tracker.Observe(time.Now(), nil)
+		for _, w := range o.m.tracker.Plan(time.Now(), []ownership.Shard{fleetShard}) {
+			if committed, ok := o.m.tracker.Committed(time.Now(), w, 42); ok && w.Shard == fleetShard {
+				tenure = committed
+			}
+		}
+	}
+	if tenure.Shard != fleetShard {
+		t.Fatal("the fleet was not taken over")
+	}
+	f := newFleetOwner(o.m, tenure, cancel)
+	f.syncPools(ctx, nil)
+	<-f.inbox
+	if diff := cmp.Diff(quota.Call{Fence: uint64(tenure.Fence), Number: 1}, o.leases.LastCall()); diff != "" {
+		t.Errorf("call applied by the owner of the pool (-want +got):\n%s", diff)
+	}
+}
