Test that calls to the owners of pools carry leases

Change: it plans until the fleet is taken over.

Measured: it fails with the former order of deletion and call, and passes with the present one.

--- a/manager/lending_test.go
+++ b/manager/lending_test.go
@@ -186,10 +186,11 @@
 		}
 	}()
 	var tenure ownership.Tenure
-	for range 10 {
+	for version := ownership.Version(42); version < 72 && tenure.Shard == ""; version++ {
+		time.Sleep(100 * time.Millisecond)
 		o.m.tracker.Observe(time.Now(), nil)
-		for _, w := range o.m.tracker.Plan(time.Now(), []ownership.Shard{fleetShard}) {
-			if committed, ok := o.m.tracker.Committed(time.Now(), w, 42); ok && w.Shard == fleetShard {
+		for _, w := range o.m.tracker.Plan(time.Now(), []ownership.Shard{o.shard, fleetShard}) {
+			if committed, ok := o.m.tracker.Committed(time.Now(), w, version); ok && w.Shard == fleetShard {
 				tenure = committed
 			}
 		}
