Refuse access to the jobs of other organisations

Cause: with keys, any organisation could read, cancel or repeat the jobs of another one whose ids it knew.

Outcome rows keep the organisation. A guard, which is stored when an unknown id is cancelled, belongs to the organisation that cancelled it and does not cancel a job of another one. Callers of public queues have no organisation and access all jobs of their queue.

Tests: the signatures of StoreJob and JobState changed, and so the fakes and calls in io/owner/owner_test.go and manager/unfenced_owner_test.go; what they check is unchanged.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -59,6 +59,13 @@
 // empty for jobs of public queues.
 type Organisation string
 
+// Permits reports whether a caller of the given organisation may access a job of o. A job
+// without an organisation is open to all callers, and a caller without one, which is a caller
+// of a public queue, may access every job of that queue.
+func (o Organisation) Permits(caller Organisation) bool {
+	return o == "" || caller == "" || o == caller
+}
+
 // MilliCPU is an amount of CPU in thousandths of a core.
 type MilliCPU int
 
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -30,6 +30,9 @@
 	// Guard is true if the outcome only guards against a late write of a job: its caller
 	// cancelled an id under which no job was stored. It is not the outcome of a job.
 	Guard bool `json:"guard,omitempty"`
+	// Organisation is that of the job, or of the caller who has set a guard. It is empty in
+	// rows of versions that did not store it.
+	Organisation Organisation `json:"organisation,omitempty"`
 }
 
 // Encode returns the JSON encoding for the value of an outcome row.
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -24,7 +24,7 @@
 		if j.outcome != "" {
 			p.emit(&FinishJob{
 				Queue: j.record.Queue, ID: j.id(), Version: j.version, ProgressVersion: j.progressVersion,
-				Outcome: job.Outcome{State: j.outcome, At: now}, Seq: j.seq,
+				Outcome: job.Outcome{State: j.outcome, At: now, Organisation: j.record.Organisation}, Seq: j.seq,
 			})
 			continue
 		}
@@ -50,7 +50,7 @@
 	j.progressVersion = e.Version
 	j.dirtySince = now
 	if e.Finished {
-		p.close(now, j, job.Outcome{State: j.outcome, At: now})
+		p.close(now, j, job.Outcome{State: j.outcome, At: now, Organisation: j.record.Organisation})
 	}
 }
 
@@ -117,6 +117,14 @@
 	return job.Queued, true
 }
 
+// OrganisationOf returns the organisation of a job that the owner knows, or "".
+func (p *Pool) OrganisationOf(id job.ID) job.Organisation {
+	if j := p.jobs[id]; j != nil {
+		return j.record.Organisation
+	}
+	return p.ended[id].Organisation
+}
+
 // Waiting counts the jobs of a queue that have not ended and of which no task has started.
 func (p *Pool) Waiting(queue job.QueueName) int {
 	n := 0
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -10,7 +10,7 @@
 //
 //	peers := owner.NewPeers(handler, logger)
 //	go peers.Serve(ctx, listener)
-//	state, err := peers.State(ctx, address, "booking", id)
+//	state, err := peers.State(ctx, address, "booking", caller, id)
 //	if err != nil {
 //		return err
 //	}
@@ -48,6 +48,20 @@
 // job is not stored.
 var ErrNotOwner = errors.New("this entry does not own the pool")
 
+// ErrForbidden means that a job belongs to another organisation than the caller.
+var ErrForbidden = errors.New("the job belongs to another organisation")
+
+// SubmitReply is the answer of a pool's owner to the submission of a job.
+type SubmitReply struct {
+	// Result is 0 if the job is known not to be stored, 1 if it is stored, and 2 if it may be
+	// stored. It is 3 if the job is known not to be stored because it is in excess of its
+	// organisation's rate, and 4 if another organisation has a job with this ID.
+	Result uint8
+	// RetryAfter is the time after which the caller may submit the job again. It is set for
+	// result 3.
+	RetryAfter time.Duration
+}
+
 // Limits of calls and connections between entries.
 const (
 	// storeAgeTimeout limits the calls for the age of the store's last response.
@@ -80,12 +94,12 @@
 // Handler handles the calls of peers. Methods that name a pool or a shard return
 // ErrNotOwner if this entry does not own it.
 type Handler interface {
-	// StoreJob stores a new job. value is the JSON encoding of the job's record. The
-	// result is 0 if the job is known not to be stored, 1 if it is stored, and 2 if it
-	// may be stored. It also returns ErrNotOwner if the write was not sent to the store.
-	StoreJob(ctx context.Context, name job.PoolName, value []byte) (uint8, error)
-	// JobState returns the state of a job, or "" if the owner does not know it.
-	JobState(ctx context.Context, name job.PoolName, id job.ID) (job.State, error)
+	// StoreJob stores a new job. value is the JSON encoding of the job's record. It also
+	// returns ErrNotOwner if the write was not sent to the store.
+	StoreJob(ctx context.Context, name job.PoolName, value []byte) (SubmitReply, error)
+	// JobState returns the state of a job to a caller of an organisation, or "" if the owner
+	// does not know the job. It returns ErrForbidden if the job belongs to another organisation.
+	JobState(ctx context.Context, name job.PoolName, caller job.Organisation, id job.ID) (job.State, error)
 	// WaitingJobs returns the number of the queue's jobs of which no task has started.
 	WaitingJobs(ctx context.Context, name job.PoolName, queue job.QueueName) (int, error)
 	// SyncPool replaces the set of the pool's cordoned runners, which get no new tasks,
@@ -260,26 +274,32 @@
 }
 
 // Submit sends a new job to the owner of its pool, which stores it. value is the JSON
-// encoding of the job's record. The result is 0 if the job is known not to be stored, 1
-// if it is stored, and 2 if it may be stored. ErrNotOwner means that the job is not
-// stored, because the called entry does not own the pool or has not sent the write to
-// the store. After any other error the result is 0, but the job may be stored.
-func (p *Peers) Submit(ctx context.Context, address string, name job.PoolName, value []byte) (result uint8, err error) {
+// encoding of the job's record. ErrNotOwner means that the job is not stored, because the
+// called entry does not own the pool or has not sent the write to the store. After any other
+// error the result is 0, but the job may be stored.
+func (p *Peers) Submit(ctx context.Context, address string, name job.PoolName, value []byte) (submitted SubmitReply, err error) {
 	err = p.call(address, func(c ownerpb.OwnerClient) error {
 		reply, err := c.Submit(ctx, &ownerpb.SubmitRequest{Pool: string(name), Record: value})
-		result = uint8(reply.GetResult())
+		submitted = SubmitReply{
+			Result: uint8(reply.GetResult()), RetryAfter: time.Duration(reply.GetRetryAfterMilliseconds()) * time.Millisecond,
+		}
 		return err
 	})
-	return result, err
+	return submitted, err
 }
 
-// State returns the state of a job from the owner of its pool.
-func (p *Peers) State(ctx context.Context, address string, name job.PoolName, id job.ID) (state job.State, err error) {
+// State returns the state of a job to a caller of an organisation, from the owner of the job's
+// pool. It returns ErrForbidden if the job belongs to another organisation.
+func (p *Peers) State(ctx context.Context, address string, name job.PoolName, caller job.Organisation, id job.ID) (state job.State, err error) {
+	forbidden := false
 	err = p.call(address, func(c ownerpb.OwnerClient) error {
-		reply, err := c.State(ctx, &ownerpb.StateRequest{Pool: string(name), Job: string(id)})
-		state = job.State(reply.GetState())
+		reply, err := c.State(ctx, &ownerpb.StateRequest{Pool: string(name), Job: string(id), Organisation: string(caller)})
+		state, forbidden = job.State(reply.GetState()), reply.GetForbidden()
 		return err
 	})
+	if err == nil && forbidden {
+		return "", ErrForbidden
+	}
 	return state, err
 }
 
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -37,11 +37,11 @@
 // strangerHandler is the Handler of an entry that owns nothing.
 type strangerHandler struct{ Handler }
 
-func (strangerHandler) StoreJob(context.Context, job.PoolName, []byte) (uint8, error) {
-	return 0, ErrNotOwner
+func (strangerHandler) StoreJob(context.Context, job.PoolName, []byte) (SubmitReply, error) {
+	return SubmitReply{}, ErrNotOwner
 }
 
-func (strangerHandler) JobState(context.Context, job.PoolName, job.ID) (job.State, error) {
+func (strangerHandler) JobState(context.Context, job.PoolName, job.Organisation, job.ID) (job.State, error) {
 	return "", ErrNotOwner
 }
 
@@ -79,7 +79,7 @@
 	ctx := t.Context()
 	for name, call := range map[string]func() error{
 		"Submit":    func() error { _, err := p.Submit(ctx, address, "booking", nil); return err },
-		"State":     func() error { _, err := p.State(ctx, address, "booking", "1"); return err },
+		"State":     func() error { _, err := p.State(ctx, address, "booking", "lodge", "1"); return err },
 		"Waiting":   func() error { _, err := p.Waiting(ctx, address, "booking", "seats"); return err },
 		"Sync":      func() error { _, err := p.Sync(ctx, address, "booking", nil); return err },
 		"EndRunner": func() error { return p.EndRunner(ctx, address, "booking", pool.RunnerEnded{Runner: "r1"}) },
@@ -95,7 +95,7 @@
 func TestPanicInHandlerIsAnswered(t *testing.T) {
 	p, address := servePeers(t, struct{ Handler }{}) // each method panics, as the interface is nil
 	for range 2 {
-		if _, err := p.State(t.Context(), address, "booking", "1"); status.Code(err) != codes.Internal {
+		if _, err := p.State(t.Context(), address, "booking", "lodge", "1"); status.Code(err) != codes.Internal {
 			t.Errorf("error = %v, want one with code Internal", err)
 		}
 	}
@@ -107,7 +107,7 @@
 	entered, release chan struct{}
 }
 
-func (h slowHandler) JobState(ctx context.Context, _ job.PoolName, id job.ID) (job.State, error) {
+func (h slowHandler) JobState(ctx context.Context, _ job.PoolName, _ job.Organisation, id job.ID) (job.State, error) {
 	if id != "slow" {
 		<-ctx.Done()
 		return "", ctx.Err()
@@ -125,13 +125,13 @@
 	p, address := servePeers(t, handler)
 	result := make(chan error, 1)
 	go func() {
-		_, err := p.State(t.Context(), address, "booking", "slow")
+		_, err := p.State(t.Context(), address, "booking", "lodge", "slow")
 		result <- err
 	}()
 	<-handler.entered
 	for range maxConsecutiveFailures {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-		if _, err := p.State(ctx, address, "booking", "lost"); status.Code(err) != codes.DeadlineExceeded {
+		if _, err := p.State(ctx, address, "booking", "lodge", "lost"); status.Code(err) != codes.DeadlineExceeded {
 			t.Fatalf("error = %v, want DeadlineExceeded", err)
 		}
 		cancel()
--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -33,13 +33,18 @@
 
 // Submit implements ownerpb.OwnerServer.
 func (s *server) Submit(ctx context.Context, in *ownerpb.SubmitRequest) (*ownerpb.SubmitReply, error) {
-	result, err := s.handler.StoreJob(ctx, job.PoolName(in.GetPool()), in.GetRecord())
-	return &ownerpb.SubmitReply{Result: uint32(result)}, statusError(err)
+	reply, err := s.handler.StoreJob(ctx, job.PoolName(in.GetPool()), in.GetRecord())
+	return &ownerpb.SubmitReply{
+		Result: uint32(reply.Result), RetryAfterMilliseconds: reply.RetryAfter.Milliseconds(),
+	}, statusError(err)
 }
 
 // State implements ownerpb.OwnerServer.
 func (s *server) State(ctx context.Context, in *ownerpb.StateRequest) (*ownerpb.StateReply, error) {
-	state, err := s.handler.JobState(ctx, job.PoolName(in.GetPool()), job.ID(in.GetJob()))
+	state, err := s.handler.JobState(ctx, job.PoolName(in.GetPool()), job.Organisation(in.GetOrganisation()), job.ID(in.GetJob()))
+	if errors.Is(err, ErrForbidden) {
+		return &ownerpb.StateReply{Forbidden: true}, nil
+	}
 	return &ownerpb.StateReply{State: string(state)}, statusError(err)
 }
 
--- a/manager/conflict.go
+++ b/manager/conflict.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 
@@ -53,6 +54,9 @@
 			switch {
 			case ended && !exists && pending.replaceGuard(outcome):
 				remaining, progressed = append(remaining, pending), true
+			case exists && !storedOrganisation(row).Permits(pending.newJob.Organisation),
+				!exists && ended && !storedOrganisation(outcome).Permits(pending.newJob.Organisation):
+				pending.reply <- submitReply{result: Forbidden}
 			case exists || ended:
 				pending.reply <- submitReply{result: Stored} // a repeated submission of the same job
 			default:
@@ -82,20 +86,41 @@
 	return remaining, progressed || len(remaining) < len(batch)
 }
 
+// storedOrganisation returns the organisation in the row of a job or of an outcome. It is empty,
+// which permits every caller, if the row cannot be decoded.
+func storedOrganisation(row table.Row) job.Organisation {
+	var stored struct {
+		Organisation job.Organisation `json:"organisation"`
+	}
+	if json.Unmarshal(row.Value, &stored) != nil {
+		return ""
+	}
+	return stored.Organisation
+}
+
 // replaceGuard makes the write of a new job store its outcome if the stored one is a guard: the
-// job was cancelled before it arrived. It returns false if the stored one is not a guard, or the
-// write has replaced that one already.
+// job was cancelled before it arrived. A guard of another organisation does not cancel the job,
+// which replaces it. It returns false if the stored one is not a guard, or the write has replaced
+// that one already.
 func (w *write) replaceGuard(stored table.Row) bool {
 	outcome, err := job.DecodeOutcome(stored.Value)
 	if err != nil || !outcome.Guard {
 		return false
 	}
-	outcome.Guard = false
+	if !outcome.Organisation.Permits(w.newJob.Organisation) {
+		value, err := w.newJob.Encode()
+		if err != nil {
+			return false
+		}
+		w.value, w.guardVersion, w.overridesGuard = value, stored.Version, true
+		return true
+	}
+	outcome.Guard, outcome.Organisation = false, w.newJob.Organisation
 	value, err := outcome.Encode()
 	if err != nil {
 		return false
 	}
-	w.value, w.guardVersion = value, stored.Version
+	w.value, w.guardVersion, w.overridesGuard = value, stored.Version, false
 	return true
 }
 
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -22,6 +22,11 @@
 	Stored
 	// MayBeStored means that the job may be stored: the caller has to submit it again.
 	MayBeStored
+	// Excess means that the job is known not to be stored, and will never run, because its
+	// organisation exceeds its rate while the pool is full. The error is an *ExcessError.
+	Excess
+	// Forbidden means that another organisation has a job with this id.
+	Forbidden
 )
 
 const (
@@ -48,6 +53,8 @@
 	switch {
 	case err == nil && result == Stored:
 		return Stored, nil
+	case err == nil && result == Forbidden:
+		return Forbidden, ErrForbidden
 	case err == nil:
 		return result, errRefusedByOwner
 	}
@@ -55,8 +62,11 @@
 		return result, err
 	}
 	directResult, err := m.direct.storeNewJob(ctx, record, value)
-	if directResult == NotStored {
+	switch directResult {
+	case NotStored:
 		return result, err // the owner's write may still take effect
+	case Forbidden:
+		return Forbidden, ErrForbidden
 	}
 	return directResult, err
 }
@@ -78,7 +88,7 @@
 	if address == "" || m.breakers.open(time.Now(), address) {
 		return NotStored, errNoOwner
 	}
-	result, err := m.peers.Submit(ctx, address, record.Pool, value)
+	reply, err := m.peers.Submit(ctx, address, record.Pool, value)
 	m.breakers.record(time.Now(), address, err)
 	switch {
 	case errors.Is(err, owner.ErrNotOwner):
@@ -86,7 +96,7 @@
 	case err != nil:
 		return MayBeStored, err
 	}
-	return SubmitResult(result), nil
+	return SubmitResult(reply.Result), nil
 }
 
 // storeNewJob stores a job of this owner's pool, unless the owner is overloaded.
@@ -102,18 +112,21 @@
 // ErrUnknownJob is returned for a job that does not exist.
 var ErrUnknownJob = errors.New("job does not exist")
 
-// State returns the state of a job, or ErrUnknownJob. Other errors mean that the state
-// cannot be determined at present.
+// ErrForbidden is returned for a job that belongs to another organisation than the caller.
+var ErrForbidden = owner.ErrForbidden
+
+// State returns the state of a job to a caller of an organisation, or ErrUnknownJob or
+// ErrForbidden. Other errors mean that the state cannot be determined at present.
 func (m *Manager) State(ctx context.Context, q *catalog.Queue, caller job.Organisation, id job.ID) (job.State, error) {
-	if state := m.stateFromOwner(ctx, q.Pool, id); state != "" {
-		return state, nil
+	if state, err := m.stateFromOwner(ctx, q.Pool, caller, id); state != "" || err != nil {
+		return state, err
 	}
 	row, found, err := readRow(ctx, m.store, jobKey(jobTable, q.Name, id))
 	if err != nil {
 		return "", err
 	}
 	if found {
-		return m.storedState(ctx, row, id), nil
+		return m.storedState(ctx, row, caller, id)
 	}
 	outcome, found, err := readOutcome(ctx, m.store, q.Name, id)
 	if err != nil {
@@ -122,113 +135,64 @@
 	if !found || outcome.Guard {
 		return "", ErrUnknownJob
 	}
+	if !outcome.Organisation.Permits(caller) {
+		return "", ErrForbidden
+	}
 	return outcome.State, nil
 }
 
 // storedState returns the state of a job whose row is stored. A job that no owner
 // answers for is reported as queued.
-func (m *Manager) storedState(ctx context.Context, row table.Row, id job.ID) job.State {
+func (m *Manager) storedState(ctx context.Context, row table.Row, caller job.Organisation, id job.ID) (job.State, error) {
 	record, err := job.DecodeRecord(row.Value)
 	if err != nil {
 		m.logger.Error("job is broken", "job", id, "error", err)
-		return job.Queued
+		return job.Queued, nil
+	}
+	if !record.Organisation.Permits(caller) {
+		return "", ErrForbidden
 	}
 	// The queue may have been assigned to another pool since the job was accepted.
-	if state := m.stateFromOwner(ctx, record.Pool, id); state != "" {
-		return state
+	if state, err := m.stateFromOwner(ctx, record.Pool, caller, id); state != "" || err != nil {
+		return state, err
 	}
-	return job.Queued
+	return job.Queued, nil
 }
 
 // stateFromOwner returns the state that the pool's owner reports, or "" if there is no
-// owner, it does not answer or it does not know the job.
-func (m *Manager) stateFromOwner(ctx context.Context, name job.PoolName, id job.ID) job.State {
+// owner, it does not answer or it does not know the job. The only error is ErrForbidden.
+func (m *Manager) stateFromOwner(ctx context.Context, name job.PoolName, caller job.Organisation, id job.ID) (job.State, error) {
 	if o := m.localOwner(name); o != nil {
-		state, _ := o.jobState(ctx, id)
-		return state
+		return o.jobState(ctx, caller, id)
 	}
 	address := m.ownerAddress(name)
 	if address == "" || m.breakers.open(time.Now(), address) {
-		return ""
+		return "", nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	state, err := m.peers.State(ctx, address, name, id)
+	state, err := m.peers.State(ctx, address, name, caller, id)
+	if errors.Is(err, ErrForbidden) {
+		m.breakers.record(time.Now(), address, nil)
+		return "", ErrForbidden
+	}
 	m.breakers.record(time.Now(), address, err)
 	if err != nil {
 		m.logger.Info("cannot get job state from owner", "job", id, "owner", address, "error", err)
 	}
-	return state
-}
-
-func (o *poolOwner) jobState(ctx context.Context, id job.ID) (state job.State, known bool) {
-	o.runQuery(ctx, func(_ context.Context, p *pool.Pool) { state, known = p.State(id) })
-	return state, known
+	return state, nil
 }
 
-// Cancel cancels a job, or returns ErrUnknownJob. After any other error the job may or
-// may not be cancelled.
-func (m *Manager) Cancel(ctx context.Context, q *catalog.Queue, caller job.Organisation, id job.ID) error {
-	var err error
-	for range maxCancelAttempts {
-		var done bool
-		if done, err = m.tryCancel(ctx, q, id); done {
-			return err
+// jobState returns the state of a job, "" if the owner does not know it, or ErrForbidden.
+func (o *poolOwner) jobState(ctx context.Context, caller job.Organisation, id job.ID) (state job.State, err error) {
+	o.runQuery(ctx, func(_ context.Context, p *pool.Pool) {
+		if !p.OrganisationOf(id).Permits(caller) {
+			err = ErrForbidden
+			return
 		}
-	}
-	return err
-}
-
-// tryCancel makes one attempt to cancel a job and reports whether its result is final.
-func (m *Manager) tryCancel(ctx context.Context, q *catalog.Queue, id job.ID) (bool, error) {
-	key := jobKey(jobTable, q.Name, id)
-	row, found, err := readRow(ctx, m.store, key)
-	if err != nil {
-		return false, err
-	}
-	outcomeKey := table.Key{Table: outcomeTable, Part: key.Part, Name: key.Name}
-	outcome := job.Outcome{State: job.Cancelled, At: time.Now(), Guard: !found}
-	value, err := outcome.Encode()
-	if err != nil {
-		return true, err
-	}
-	tx := table.Tx{Part: key.Part}
-	tx.Expect(key, row.Version)
-	tx.Put(outcomeKey, value)
-	if !found {
-		// A write of the job may still be in flight; the outcome makes it fail.
-		stored, ended, err := readOutcome(ctx, m.store, q.Name, id)
-		switch {
-		case err != nil:
-			return false, err
-		case ended && stored.Guard:
-			return true, ErrUnknownJob
-		case ended:
-			return true, nil
-		}
-		tx.Expect(outcomeKey, 0)
-	} else {
-		tx.Remove(key)
-		tx.Remove(table.Key{Table: progressTable, Part: key.Part, Name: key.Name})
-	}
-	if _, err := m.store.Commit(ctx, &tx); err != nil {
-		return false, err
-	}
-	if !found {
-		return true, ErrUnknownJob
-	}
-	if record, err := job.DecodeRecord(row.Value); err == nil {
-		m.notifyCancelled(record.Pool, id)
-	}
-	return true, nil
-}
-
-// notifyCancelled notifies the pool's owner if it is in this process. Other owners
-// read the removal from the feed.
-func (m *Manager) notifyCancelled(name job.PoolName, id job.ID) {
-	if o := m.localOwner(name); o != nil {
-		o.submit(&pool.JobRemoved{ID: id})
-	}
+		state, _ = p.State(id)
+	})
+	return state, err
 }
 
 func (o *poolOwner) countWaiting(ctx context.Context, queue job.QueueName) (int, error) {
--- a/manager/peer_handler.go
+++ b/manager/peer_handler.go
@@ -16,33 +16,33 @@
 // StoreJob stores a new job in a pool that this entry owns. value is the JSON encoding
 // of the job's record. The result is a SubmitResult. It returns owner.ErrNotOwner also
 // if the write was not sent to the store.
-func (m *Manager) StoreJob(ctx context.Context, name job.PoolName, value []byte) (uint8, error) {
+func (m *Manager) StoreJob(ctx context.Context, name job.PoolName, value []byte) (owner.SubmitReply, error) {
 	o := m.localOwner(name)
 	if o == nil {
-		return 0, owner.ErrNotOwner
+		return owner.SubmitReply{}, owner.ErrNotOwner
 	}
 	record, err := job.DecodeRecord(value)
 	if err != nil {
-		return 0, err
+		return owner.SubmitReply{}, err
 	}
 	result, err := o.storeNewJob(ctx, record, value)
 	if result == NotStored && (errors.Is(err, errNotSent) || errors.Is(err, errStoreUnavailable)) {
-		return 0, owner.ErrNotOwner
+		return owner.SubmitReply{}, owner.ErrNotOwner
 	}
 	if err != nil {
 		m.logger.Warn("job of a peer is not stored", "job", record.ID, "result", result, "error", err)
 	}
-	return uint8(result), nil
+	return owner.SubmitReply{Result: uint8(result)}, nil
 }
 
-// JobState returns the state of a job, or "" if the owner does not know it.
-func (m *Manager) JobState(ctx context.Context, name job.PoolName, id job.ID) (job.State, error) {
+// JobState returns the state of a job to a caller of an organisation, or "" if the owner does
+// not know it.
+func (m *Manager) JobState(ctx context.Context, name job.PoolName, caller job.Organisation, id job.ID) (job.State, error) {
 	o := m.localOwner(name)
 	if o == nil {
 		return "", owner.ErrNotOwner
 	}
-	state, _ := o.jobState(ctx, id)
-	return state, nil
+	return o.jobState(ctx, caller, id)
 }
 
 // WaitingJobs returns the number of the queue's jobs of which no task has started.
--- a/manager/uncertain_jobs.go
+++ b/manager/uncertain_jobs.go
@@ -26,7 +26,7 @@
 	defer u.mu.Unlock()
 	at, before := u.recordedAt[id]
 	switch {
-	case result == Stored:
+	case result == Stored || result == Forbidden:
 		delete(u.recordedAt, id)
 	case result == MayBeStored:
 		u.expire(now)
--- a/manager/unfenced_owner_test.go
+++ b/manager/unfenced_owner_test.go
@@ -61,7 +61,7 @@
 			t.Fatal(err)
 		}
 		time.Sleep(cancelDelay)
-		state, _ := o.jobState(ctx, testID)
+		state, _ := o.jobState(ctx, "", testID)
 		want(t, "state known to the owner", state, job.Cancelled)
 		cancel()
 		<-o.done
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -39,8 +39,10 @@
 	newJob *job.Record
 	reply  chan submitReply
 	// guardVersion is the version of the guard that the outcome of a new job replaces, see
-	// replaceGuard. It is 0 for all other writes.
-	guardVersion table.Version
+	// replaceGuard. It is 0 for all other writes. overridesGuard is true if the job itself
+	// replaces the guard, which is one of another organisation.
+	guardVersion   table.Version
+	overridesGuard bool
 	// stage arbitrates between the writer that sends the write and the caller that
 	// withdraws it.
 	stage atomic.Int32
@@ -66,17 +68,24 @@
 // progressOnly reports whether the write only saves progress, for which no caller waits.
 func (w *write) progressOnly() bool { return w.newJob == nil && !w.finished }
 
+// endsAtOnce reports whether the write stores the outcome of a new job instead of the job,
+// because it was cancelled before.
+func (w *write) endsAtOnce() bool { return w.guardVersion > 0 && !w.overridesGuard }
+
 // addTo adds the write to a transaction. Its conditions on the job's row hold only while
 // the job has not ended; those on the progress row detect writes of another owner.
 func (w *write) addTo(tx *table.Tx) {
 	if w.newJob != nil {
 		tx.Expect(w.key(jobTable), 0)
 		tx.Expect(w.key(outcomeTable), w.guardVersion)
-		if w.guardVersion > 0 {
+		if w.endsAtOnce() {
 			tx.Put(w.key(outcomeTable), w.value)
-		} else {
-			tx.Put(w.key(jobTable), w.value)
+			return
+		}
+		if w.overridesGuard {
+			tx.Remove(w.key(outcomeTable))
 		}
+		tx.Put(w.key(jobTable), w.value)
 		return
 	}
 	tx.Expect(w.key(jobTable), w.version)
@@ -319,7 +328,7 @@
 
 func (w *writer) reportSaved(pending *write, version table.Version) {
 	if pending.newJob != nil {
-		if pending.guardVersion == 0 {
+		if !pending.endsAtOnce() {
 			w.sink.submit(&pool.JobStored{Record: pending.newJob, Version: pool.RowVersion(version)})
 		}
 		pending.reply <- submitReply{result: Stored}
