Divide a full pool among organisations by weight

Cause: an organisation that sends five times its usual load makes the jobs of all others late, as jobs are deferred by their due times alone.

Change: while jobs are deferred or late, organisations are charged for their recent use, running and admitted work, and jobs are admitted by start-time fair queueing over dominant shares (share.go, meetable.go). Jobs of organisations within their allowance start first. Jobs in excess are a tier between late and expired ones. Admission counts submissions in a token bucket for each organisation and decides on refusals from the state that the reducer publishes with each tick. Reports contain the load of each organisation.

--- a/core/pool/event.go
+++ b/core/pool/event.go
@@ -32,6 +32,8 @@
 	ProgressVersion RowVersion
 	// Inherited is true if a previous owner may have started some of its tasks.
 	Inherited bool
+	// Excess is true if the job is beyond the rate of its organisation, see Admission.
+	Excess bool
 }
 
 // JobsLoaded reports that every stored job of the pool that could be decoded was passed
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -50,6 +50,16 @@
 	begunOccurrences int
 	// started is true once a task of the job is known to have started.
 	started bool
+	// excess is true if the job is beyond the rate of its organisation. holder is the
+	// organisation that it counts for, nil if none are configured.
+	excess bool
+	holder *shareholder
+	// meetable, groupIndex and use are valid during a ranking that divides the pool: whether the
+	// job would be admitted by its due time alone, its position among those of its tier and
+	// priority, and the work of the tasks that have not started, in seconds of the whole pool.
+	meetable   bool
+	groupIndex int
+	use        float64
 	// rank is the job's rank as of the last call of rankJobs or insertRanked.
 	rank rank
 
@@ -88,16 +98,21 @@
 	if _, ok := p.ended[id]; ok {
 		return
 	}
-	if p.jobs[id] != nil {
+	if j := p.jobs[id]; j != nil {
+		// The feed may bring the job before the answer to its own write.
+		if e.Excess && !j.excess {
+			j.excess, p.rankedAt = true, time.Time{}
+		}
 		return
 	}
 	j := &jobState{
+		excess: e.Excess, holder: p.shares.holder(e.Record.Organisation),
 		record: e.Record, version: e.Version, progressVersion: e.ProgressVersion,
 		inherited: e.Inherited, criticalPath: e.Record.Spec.CriticalPath(), runtimes: p.runtimesOf(e.Record.Queue),
 	}
 	j.runFloor = max(0, p.options.Epoch-1) * runsPerEpoch
 	p.addJob(j)
-	if !j.inherited {
+	if !j.inherited && !j.excess {
 		p.arrivals.add(now, j)
 	}
 	if e.Progress != nil {
@@ -133,6 +148,7 @@
 // apply implements Event.
 func (e *QueuesChanged) apply(p *Pool, _ time.Time) {
 	p.queues, p.organisations = e.Queues, e.Organisations
+	p.assignShares()
 	p.dispatchNeeded = true
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -112,6 +112,8 @@
 	queues     map[job.QueueName]QueueSettings
 	// organisations is nil if the configuration names none.
 	organisations *organisation.Directory
+	shares        shares
+	admission     poolAdmission
 	jobs          map[job.ID]*jobState
 	// jobOrder and runnerOrder hold the jobs and runners in a fixed order, so that
 	// the same events always produce the same effects.
@@ -188,6 +190,9 @@
 		p.dispatchNeeded = false
 		p.dispatch(now)
 	}
+	if p.admission.due {
+		p.publishAdmission(now)
+	}
 	p.pollRunners(now)
 	p.saveJobs(now)
 	return p.effects
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -15,7 +15,10 @@
 	// started jobs precede others of their tier and priority, because their completed
 	// work would be wasted if they were late.
 	started bool
-	due     time.Time
+	// share is the virtual time of the job's organisation, see share.go. It is 0 unless the
+	// pool is divided.
+	share float64
+	due   time.Time
 }
 
 // Tiers of rank. Persistent tasks come first, because they are of use during the whole
@@ -29,6 +32,8 @@
 	tierDeferred
 	// tierLate jobs can no longer meet their objective.
 	tierLate
+	// tierExcess jobs are beyond the rate of their organisation.
+	tierExcess
 	// tierExpired jobs have exceeded expiredFactor times their objective.
 	tierExpired
 )
@@ -49,6 +54,7 @@
 		cmp.Compare(r.tier, o.tier),
 		cmp.Compare(r.priority, o.priority),
 		-compareBool(r.started, o.started),
+		cmp.Compare(r.share, o.share),
 		r.due.Compare(o.due),
 	)
 }
@@ -71,6 +77,9 @@
 // insertRanked adds a new job to the current ranking.
 func (p *Pool) insertRanked(now time.Time, j *jobState) {
 	j.rank = p.rank(now, j)
+	if p.shares.divided {
+		j.rank.share = j.shareRank()
+	}
 	index, _ := slices.BinarySearchFunc(p.ranked, j, compareJobs)
 	p.ranked = slices.Insert(p.ranked, index, j)
 }
@@ -94,20 +103,28 @@
 		}
 	}
 	slices.SortFunc(p.ranked, compareJobs)
-	if p.deferUnmeetable(now) {
+	deferred := p.deferUnmeetable(now)
+	p.updateShares(now, deferred || p.lateJobs())
+	if deferred || p.shares.divided {
 		slices.SortFunc(p.ranked, compareJobs)
 	}
 }
 
+// lateJobs reports whether there are jobs behind those that meet their objectives.
+func (p *Pool) lateJobs() bool {
+	return len(p.ranked) > 0 && p.ranked[len(p.ranked)-1].rank.tier > tierDeferred
+}
+
 // deferUnmeetable moves the jobs of tierOnTime that would start too late behind the
 // others to tierDeferred. It reports whether there are any.
 func (p *Pool) deferUnmeetable(now time.Time) bool {
-	capacity := p.capacity(now)
+	capacity := p.capacity(now).CPU
 	if capacity == 0 {
 		return false
 	}
 	deferred := false
 	workAhead := p.remainingRunningWork(now)
+	p.shares.runningWork = workAhead
 	for _, j := range p.ranked {
 		if j.rank.tier != tierOnTime {
 			continue
@@ -137,12 +154,12 @@
 	return work
 }
 
-// capacity returns the CPU capacity of the runners that accept tasks.
-func (p *Pool) capacity(now time.Time) job.MilliCPU {
-	var sum job.MilliCPU
+// capacity returns the capacity of the runners that accept tasks.
+func (p *Pool) capacity(now time.Time) job.Resources {
+	var sum job.Resources
 	for _, r := range p.runnerOrder {
 		if r.resolved && !r.Draining && !r.cordoned && r.missingSince.IsZero() && r.failedCalls == 0 && !r.health.ejected(now) {
-			sum += r.Capacity.CPU
+			sum = sum.Add(r.Capacity)
 		}
 	}
 	return sum
@@ -183,6 +200,9 @@
 	default:
 		r.tier = tierExpired
 	}
+	if j.excess && r.tier < tierExpired {
+		r.tier = tierExcess
+	}
 	return r
 }
 
--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -39,6 +39,8 @@
 	// Spread is the minimum number of instances that the steps with MaxPerInstance need.
 	Spread    int
 	Recovered bool
+	// Organisations is empty if the configuration names none.
+	Organisations []OrganisationLoad
 }
 
 // Size returns the number of known runners.
@@ -63,6 +65,7 @@
 		}
 	}
 	report.Arriving = p.arrivals.rate(now)
+	report.Organisations = p.organisationLoads()
 	return report
 }
 
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -304,7 +304,7 @@
 
 // apply implements Event.
 func (Ticked) apply(p *Pool, now time.Time) {
-	p.dispatchNeeded = true
+	p.dispatchNeeded, p.admission.due = true, true
 	for _, r := range p.runnerOrder {
 		id := r.ID
 		if len(r.tasks) > 0 && r.leaseExpired(now) {
