Refuse jobs in excess while the pool is full

Cause: jobs beyond the rate of their organisation took a place in the queue of a full pool and the time of its owner.

Change: a pool's owner decides at the submission, from the state that its reducer has published, whether a job is in excess. While the pool is full such a job is refused (SubmitResult Excess, 429 with Retry-After). The refusal is definite: before it, the owner looks for submissions of the same id that are in flight or uncertain, and reads the rows of the job, as another entry may have stored it. Metrics count the running, waiting and refused jobs of at most 100 organisations.

--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -55,6 +55,8 @@
 		return Stored, nil
 	case err == nil && result == Forbidden:
 		return Forbidden, ErrForbidden
+	case result == Excess:
+		return m.reconcileExcess(id, err)
 	case err == nil:
 		return result, errRefusedByOwner
 	}
@@ -96,17 +98,25 @@
 	case err != nil:
 		return MayBeStored, err
 	}
+	if SubmitResult(reply.Result) == Excess {
+		return Excess, &ExcessError{RetryAfter: reply.RetryAfter}
+	}
 	return SubmitResult(reply.Result), nil
 }
 
-// storeNewJob stores a job of this owner's pool, unless the owner is overloaded.
+// storeNewJob stores a job of this owner's pool, unless the owner is overloaded or the job is in
+// excess while the pool is full.
 func (o *poolOwner) storeNewJob(ctx context.Context, record *job.Record, value []byte) (SubmitResult, error) {
 	if o.overloaded() {
 		o.m.logger.Info("job refused", "job", record.ID, "pool", o.name, "queuedEvents", len(o.inbox), "reason", "the pool's owner is overloaded")
 		// An earlier request may have stored the job.
 		return o.writer.uncertainJobs.reconcile(time.Now(), record.ID, NotStored), nil
 	}
-	return o.writer.storeNewJob(ctx, record, value)
+	excess, refused := o.admission.Submit(time.Now(), record.Organisation)
+	if refused && !o.mayBeStored(ctx, record) {
+		return Excess, o.refuseExcess(record)
+	}
+	return o.writer.storeJob(ctx, record, value, excess)
 }
 
 // ErrUnknownJob is returned for a job that does not exist.
--- a/manager/meter.go
+++ b/manager/meter.go
@@ -31,14 +31,20 @@
 	// SilentRunners sets the number of runners that do not answer and the number of
 	// tasks on them.
 	SilentRunners(name job.PoolName, runners, tasks int)
+	// OrganisationJobs sets the numbers of an organisation's jobs in a pool, started and not.
+	OrganisationJobs(name job.PoolName, label job.Organisation, running, waiting int)
+	// JobRefused counts a job that was refused as excess.
+	JobRefused(name job.PoolName, label job.Organisation)
 }
 
 // nopMeter records nothing.
 type nopMeter struct{}
 
-func (nopMeter) Started(job.PoolName, pool.CallResult)                 {}
-func (nopMeter) Ended(job.PoolName, pool.RunResult)                    {}
-func (nopMeter) RequestAnswered(string, int, time.Duration)            {}
-func (nopMeter) RunnerCalled(CallKind, pool.CallResult, time.Duration) {}
-func (nopMeter) DuplicateCompletion(job.PoolName)                      {}
-func (nopMeter) SilentRunners(job.PoolName, int, int)                  {}
+func (nopMeter) Started(job.PoolName, pool.CallResult)                     {}
+func (nopMeter) Ended(job.PoolName, pool.RunResult)                        {}
+func (nopMeter) RequestAnswered(string, int, time.Duration)                {}
+func (nopMeter) RunnerCalled(CallKind, pool.CallResult, time.Duration)     {}
+func (nopMeter) DuplicateCompletion(job.PoolName)                          {}
+func (nopMeter) SilentRunners(job.PoolName, int, int)                      {}
+func (nopMeter) OrganisationJobs(job.PoolName, job.Organisation, int, int) {}
+func (nopMeter) JobRefused(job.PoolName, job.Organisation)                 {}
--- a/manager/observe.go
+++ b/manager/observe.go
@@ -96,6 +96,7 @@
 func (o *poolOwner) observe(p *pool.Pool) {
 	runners, tasks := p.Unreachable()
 	o.m.options.Meter.SilentRunners(o.name, runners, tasks)
+	o.observeOrganisations(time.Now(), p)
 	if o.recovered {
 		return
 	}
--- a/manager/peer_handler.go
+++ b/manager/peer_handler.go
@@ -26,6 +26,10 @@
 		return owner.SubmitReply{}, err
 	}
 	result, err := o.storeNewJob(ctx, record, value)
+	var excess *ExcessError
+	if errors.As(err, &excess) {
+		return owner.SubmitReply{Result: uint8(result), RetryAfter: excess.RetryAfter}, nil
+	}
 	if result == NotStored && (errors.Is(err, errNotSent) || errors.Is(err, errStoreUnavailable)) {
 		return owner.SubmitReply{}, owner.ErrNotOwner
 	}
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -57,6 +57,11 @@
 	// queries are functions to be run between two batches of events.
 	queries chan func(context.Context, *pool.Pool)
 	writer  *writer
+	// admission decides on submissions by what the reducer last published.
+	admission pool.Admission
+	// organisationMetrics are those that observe sets.
+	organisationMetrics organisationMetrics
+	labels              organisationLabels
 	// runners sends the pool's orders.
 	runners *delegatedRunners
 	// delegatesRevisedAt is when the delegates were last revised, capacity that of all
@@ -119,6 +124,7 @@
 func (o *poolOwner) run(ctx context.Context) {
 	defer close(o.done)
 	defer o.m.options.Meter.SilentRunners(o.name, 0, 0)
+	defer o.clearOrganisationMetrics()
 	p := pool.New(o.poolOptions(), time.Now())
 	o.initialize(ctx, p)
 	go o.guard(ctx, func() { o.writer.run(ctx) })
@@ -139,7 +145,7 @@
 			query(ctx, p)
 		case <-ticker.C:
 			o.expireCordons(ctx, p)
-			o.reduce(ctx, p, pool.Ticked{})
+			o.reduce(ctx, p, &pool.SubmissionsCounted{PerSecond: o.admission.Rates(time.Now())}, pool.Ticked{})
 			o.observe(p)
 			o.reviseDelegates(ctx, p)
 		case <-expiryTicker.C:
@@ -239,6 +245,8 @@
 		go o.m.stopShard(o.shard, e.Reason)
 	case *pool.LogDecision:
 		o.logDecision(e)
+	case *pool.PublishAdmission:
+		o.admission.Update(e.State)
 	case *pool.DuplicateCompletion:
 		o.logDuplicateCompletion(e)
 	case *pool.RunnerReconnected:
--- a/manager/uncertain_jobs.go
+++ b/manager/uncertain_jobs.go
@@ -16,6 +16,33 @@
 type uncertainJobs struct {
 	mu         sync.Mutex
 	recordedAt map[job.ID]time.Time
+	// inFlight counts the submissions of each job that have no result yet.
+	inFlight map[job.ID]int
+}
+
+// begin records that a submission of a job begins. The returned function records its end.
+func (u *uncertainJobs) begin(id job.ID) (end func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.inFlight == nil {
+		u.inFlight = map[job.ID]int{}
+	}
+	u.inFlight[id]++
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if u.inFlight[id]--; u.inFlight[id] == 0 {
+			delete(u.inFlight, id)
+		}
+	}
+}
+
+// has reports whether an earlier submission of a job may be stored or may still be.
+func (u *uncertainJobs) has(now time.Time, id job.ID) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	at, before := u.recordedAt[id]
+	return u.inFlight[id] > 0 || before && now.Sub(at) < lostWriteTimeout
 }
 
 // reconcile records the result of one submission of a job and returns the result to
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -38,6 +38,8 @@
 	// newJob is set for a new job, whose result is sent to reply.
 	newJob *job.Record
 	reply  chan submitReply
+	// excess is true for a new job that is beyond the rate of its organisation.
+	excess bool
 	// guardVersion is the version of the guard that the outcome of a new job replaces, see
 	// replaceGuard. It is 0 for all other writes. overridesGuard is true if the job itself
 	// replaces the guard, which is one of another organisation.
@@ -147,19 +149,26 @@
 // storeNewJob stores a new job and returns the result. It does not return NotStored for
 // a job that an earlier request may have stored.
 func (w *writer) storeNewJob(ctx context.Context, record *job.Record, value []byte) (SubmitResult, error) {
-	result, err := w.tryStoreNewJob(ctx, record, value)
+	return w.storeJob(ctx, record, value, false)
+}
+
+// storeJob is like storeNewJob. excess tells whether the job is beyond the rate of its
+// organisation.
+func (w *writer) storeJob(ctx context.Context, record *job.Record, value []byte, excess bool) (SubmitResult, error) {
+	defer w.uncertainJobs.begin(record.ID)()
+	result, err := w.tryStoreNewJob(ctx, record, value, excess)
 	return w.uncertainJobs.reconcile(time.Now(), record.ID, result), err
 }
 
 // tryStoreNewJob stores a new job. During an outage of the store it returns at once if
 // the write was not sent: waiting for the store would only use up the caller's time.
-func (w *writer) tryStoreNewJob(ctx context.Context, record *job.Record, value []byte) (SubmitResult, error) {
+func (w *writer) tryStoreNewJob(ctx context.Context, record *job.Record, value []byte, excess bool) (SubmitResult, error) {
 	if w.store.Unavailable() {
 		return NotStored, errStoreUnavailable
 	}
 	pending := &write{
 		id: record.ID, queue: record.Queue, value: value,
-		newJob: record, reply: make(chan submitReply, 1),
+		newJob: record, reply: make(chan submitReply, 1), excess: excess,
 	}
 	select {
 	case w.incoming <- pending:
@@ -329,7 +338,7 @@
 func (w *writer) reportSaved(pending *write, version table.Version) {
 	if pending.newJob != nil {
 		if !pending.endsAtOnce() {
-			w.sink.submit(&pool.JobStored{Record: pending.newJob, Version: pool.RowVersion(version)})
+			w.sink.submit(&pool.JobStored{Record: pending.newJob, Version: pool.RowVersion(version), Excess: pending.excess})
 		}
 		pending.reply <- submitReply{result: Stored}
 		return
