--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -99,6 +99,9 @@
 
 // unstarted counts the tasks that are neither assigned nor done.
 func (s *stepState) unstarted() int {
+	if s.unblocked {
+		return s.ready // no task waits for an earlier step
+	}
 	n := 0
 	for i := range s.tasks {
 		if st := s.tasks[i].state; st == waiting || st == ready {
--- a/core/pool/share.go
+++ b/core/pool/share.go
@@ -268,7 +268,8 @@
 	s := &p.shares
 	s.group = s.group[:0]
 	for _, j := range p.ranked {
-		if j.rank.tier == tier {
+		// The order of late jobs matters only for those with tasks to place.
+		if j.rank.tier == tier && (tier <= tierOnTime || j.ready > 0) {
 			s.group = append(s.group, j)
 		}
 	}
