Merge shares, admission and ownership of jobs

Cause: organisations beside each other in a full pool got capacity by due time alone, and could read and cancel each other's jobs.

--- a/core/pool/organisation_load.go
+++ b/core/pool/organisation_load.go
@@ -32,3 +32,36 @@
 type OrganisationsSynced struct {
 	Leases map[job.Organisation]OrganisationLease
 }
+
+// SubmissionsCounted passes the number of jobs per second that each organisation submits to
+// this pool, as counted by Admission.
+type SubmissionsCounted struct {
+	PerSecond map[job.Organisation]float64
+}
+
+// apply implements Event.
+func (e *SubmissionsCounted) apply(p *Pool, _ time.Time) { p.admission.arriving = e.PerSecond }
+
+// JobCounts counts the jobs of an organisation.
+type JobCounts struct {
+	// Running jobs have started, Waiting ones have not.
+	Running, Waiting int
+}
+
+// CountJobs counts the jobs that have not ended by organisation.
+func (p *Pool) CountJobs() map[job.Organisation]JobCounts {
+	out := map[job.Organisation]JobCounts{}
+	for _, j := range p.jobOrder {
+		if j.outcome != "" {
+			continue
+		}
+		c := out[j.record.Organisation]
+		if j.started {
+			c.Running++
+		} else {
+			c.Waiting++
+		}
+		out[j.record.Organisation] = c
+	}
+	return out
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -113,6 +113,8 @@
 	// organisations is nil if the configuration names none.
 	organisations *organisation.Directory
 	quotas        quotas
+	shares        shares
+	admission     poolAdmission
 	jobs          map[job.ID]*jobState
 	// jobOrder and runnerOrder hold the jobs and runners in a fixed order, so that
 	// the same events always produce the same effects.
@@ -190,6 +192,9 @@
 		p.dispatchNeeded = false
 		p.dispatch(now)
 	}
+	if p.admission.due {
+		p.publishAdmission(now)
+	}
 	p.pollRunners(now)
 	p.saveJobs(now)
 	return p.effects
--- a/core/pool/quota.go
+++ b/core/pool/quota.go
@@ -95,6 +95,7 @@
 
 // apply implements Event.
 func (e *OrganisationsSynced) apply(p *Pool, now time.Time) {
+	p.admission.elsewhere, p.admission.elsewhereAt = e.Leases, now
 	for _, u := range p.quotas.usages {
 		u.lease, u.syncedAt = OrganisationLease{}, now
 	}
@@ -208,10 +209,13 @@
 	if p.quotas.capped {
 		unresolved = p.unresolvedUsage(now)
 	}
+	for name := range p.admission.arriving {
+		p.usageOf(name) // an organisation all of whose jobs are refused has a load, too
+	}
 	var out []OrganisationLoad
 	for _, name := range slices.Sorted(maps.Keys(p.quotas.usages)) {
 		u := p.quotas.usages[name]
-		load := OrganisationLoad{Organisation: name, Used: u.assigned, Waiting: u.waiting}
+		load := OrganisationLoad{Organisation: name, Used: u.assigned, Waiting: u.waiting, Arriving: p.admission.arriving[name]}
 		if u.limit != (job.Resources{}) {
 			load.Used = load.Used.Add(unresolved)
 		}
--- a/manager/lending.go
+++ b/manager/lending.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// maxMeteredOrganisations is the number of organisations with metrics of their own.
-	maxMeteredOrganisations = 100
-	// otherOrganisations names the rest in metrics.
-	otherOrganisations job.Organisation = "(others)"
-	// meterInterval is the period at which the metrics of organisations are set.
-	meterInterval = 1 * time.Second
 	// poolShardPrefix precedes the name of a pool in the name of its shard.
 	poolShardPrefix = "pool/"
 )
@@ -61,7 +55,7 @@
 	l.lender.Configure(now, l.m.lendingPools(now, c), organisations)
 	requests := l.lender.Plan(now)
 	l.logChanges(now)
-	if now.Sub(l.meteredAt) >= meterInterval {
+	if now.Sub(l.meteredAt) >= organisationMetricsInterval {
 		l.meteredAt = now
 		l.meter(l.lender.Status())
 	}
@@ -126,14 +120,14 @@
 	metered := map[job.Organisation]bool{}
 	rest := quota.Status{Organisation: otherOrganisations}
 	for i, status := range all {
-		if i >= maxMeteredOrganisations {
+		if i >= maxOrganisationLabels {
 			rest.Cap, rest.Lent, rest.Used = rest.Cap.Add(status.Cap), rest.Lent.Add(status.Lent), rest.Used.Add(status.Used)
 			continue
 		}
 		l.m.options.Meter.OrganisationQuota(status)
 		metered[status.Organisation] = true
 	}
-	if len(all) > maxMeteredOrganisations {
+	if len(all) > maxOrganisationLabels {
 		l.m.options.Meter.OrganisationQuota(rest)
 		metered[otherOrganisations] = true
 	}
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -38,9 +38,13 @@
 	// newJob is set for a new job, whose result is sent to reply.
 	newJob *job.Record
 	reply  chan submitReply
+	// excess is true for a new job that is beyond the rate of its organisation.
+	excess bool
 	// guardVersion is the version of the guard that the outcome of a new job replaces, see
-	// replaceGuard. It is 0 for all other writes.
-	guardVersion table.Version
+	// replaceGuard. It is 0 for all other writes. overridesGuard is true if the job itself
+	// replaces the guard, which is one of another organisation.
+	guardVersion   table.Version
+	overridesGuard bool
 	// stage arbitrates between the writer that sends the write and the caller that
 	// withdraws it.
 	stage atomic.Int32
@@ -66,17 +70,24 @@
 // progressOnly reports whether the write only saves progress, for which no caller waits.
 func (w *write) progressOnly() bool { return w.newJob == nil && !w.finished }
 
+// endsAtOnce reports whether the write stores the outcome of a new job instead of the job,
+// because it was cancelled before.
+func (w *write) endsAtOnce() bool { return w.guardVersion > 0 && !w.overridesGuard }
+
 // addTo adds the write to a transaction. Its conditions on the job's row hold only while
 // the job has not ended; those on the progress row detect writes of another owner.
 func (w *write) addTo(tx *table.Tx) {
 	if w.newJob != nil {
 		tx.Expect(w.key(jobTable), 0)
 		tx.Expect(w.key(outcomeTable), w.guardVersion)
-		if w.guardVersion > 0 {
+		if w.endsAtOnce() {
 			tx.Put(w.key(outcomeTable), w.value)
-		} else {
-			tx.Put(w.key(jobTable), w.value)
+			return
+		}
+		if w.overridesGuard {
+			tx.Remove(w.key(outcomeTable))
 		}
+		tx.Put(w.key(jobTable), w.value)
 		return
 	}
 	tx.Expect(w.key(jobTable), w.version)
@@ -139,14 +150,21 @@
 // storeNewJob stores a new job and returns the result. It does not return NotStored for
 // a job that an earlier request may have stored.
 func (w *writer) storeNewJob(ctx context.Context, record *job.Record, value []byte) (SubmitResult, error) {
-	result, err := w.tryStoreNewJob(ctx, record, value)
+	return w.storeJob(ctx, record, value, false)
+}
+
+// storeJob is like storeNewJob. excess tells whether the job is beyond the rate of its
+// organisation.
+func (w *writer) storeJob(ctx context.Context, record *job.Record, value []byte, excess bool) (SubmitResult, error) {
+	defer w.uncertainJobs.begin(record.ID)()
+	result, err := w.tryStoreNewJob(ctx, record, value, excess)
 	return w.uncertainJobs.reconcile(time.Now(), record.ID, result), err
 }
 
 // tryStoreNewJob stores a new job. During an outage of the store, or of the part that holds
 // the job, it returns at once if the write was not sent: waiting would only use up the caller's
 // time.
-func (w *writer) tryStoreNewJob(ctx context.Context, record *job.Record, value []byte) (SubmitResult, error) {
+func (w *writer) tryStoreNewJob(ctx context.Context, record *job.Record, value []byte, excess bool) (SubmitResult, error) {
 	if w.store.Unavailable() {
 		return NotStored, errStoreUnavailable
 	}
@@ -155,7 +173,7 @@
 	}
 	pending := &write{
 		id: record.ID, queue: record.Queue, value: value,
-		newJob: record, reply: make(chan submitReply, 1),
+		newJob: record, reply: make(chan submitReply, 1), excess: excess,
 	}
 	select {
 	case w.incoming <- pending:
@@ -332,8 +350,8 @@
 
 func (w *writer) reportSaved(pending *write, version table.Version) {
 	if pending.newJob != nil {
-		if pending.guardVersion == 0 {
-			w.sink.submit(&pool.JobStored{Record: pending.newJob, Version: pool.RowVersion(version)})
+		if !pending.endsAtOnce() {
+			w.sink.submit(&pool.JobStored{Record: pending.newJob, Version: pool.RowVersion(version), Excess: pending.excess})
 		}
 		pending.reply <- submitReply{result: Stored}
 		return
