Explain where a job would run

Cause: an operator could not tell why a task waits beside idle runners other than by correlating log lines.

Change: Pool.Explain places the tasks of a job in thought with the predicates that place tasks, which now name the obstacle (core/pool/obstacle.go), and counts the other runners by obstacle. An entry answers GET and POST /explain at its metrics address; one that does not own the pool answers 307 with the owner's metrics address. bronzestair explain prints the answer. Obstacles of a whole step, such as caps and shares, belong in stepObstacle.

--- a/cmd/bronzestair/main.go
+++ b/cmd/bronzestair/main.go
@@ -6,6 +6,7 @@
 //	bronzestair status -operator-addresses 127.0.0.1:8082
 //	bronzestair books -caller lodge-7 -month 2026-12
 //	bronzestair settings check entry.jsonc
+//	bronzestair explain -address 10.0.0.7:9101 -host jobs.example -path /seats/ -job job.json
 //	bronzestair load -against 127.0.0.1:9001
 package main
 
@@ -49,6 +50,7 @@
 			settingsCommand(),
 			loadCommand(),
 			experimentCommand(),
+			explainCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -56,8 +56,11 @@
 // startWindowFull reports whether as many starts await their answer as the window
 // permits. A load peak may bring more tasks than a small entry can start. An answer that
 // is then read too late counts as missing, and its task runs twice.
-func (p *Pool) startWindowFull() bool {
-	return float64(p.startsInFlight) >= p.startWindow.bound(p.options.MaxStartsInFlight)
+func (p *Pool) startWindowFull() bool { return p.startsBeyondWindow(0) }
+
+// startsBeyondWindow reports whether the window is full once that many more tasks have started.
+func (p *Pool) startsBeyondWindow(more int) bool {
+	return float64(p.startsInFlight+more) >= p.startWindow.bound(p.options.MaxStartsInFlight)
 }
 
 // maxOpenRoom returns the largest open amount of each resource on any of the runners.
@@ -174,7 +177,7 @@
 	var best *runnerState
 	var bestScore placementScore
 	for _, r := range usable {
-		if !r.free().HasRoomFor(t.step.spec.Demand()) || !r.admits(now, t) || !r.respectsReservation(now, t) || !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) {
+		if p.obstacle(now, t, r) != "" {
 			continue
 		}
 		s := p.score(t, r)
@@ -186,16 +189,7 @@
 }
 
 // meetsConstraints checks a task's placement constraints other than resources.
-func (p *Pool) meetsConstraints(t *task, r *runnerState) bool {
-	spec := t.step.spec
-	if spec.RequiredLabel != "" && !r.hasLabel(spec.RequiredLabel) {
-		return false
-	}
-	if spec.MaxPerInstance > 0 && p.siblingsOn(t, r) >= spec.MaxPerInstance {
-		return false
-	}
-	return true
-}
+func (p *Pool) meetsConstraints(t *task, r *runnerState) bool { return p.constraint(t, r) == "" }
 
 // siblingsOn counts the tasks of the task's step on a runner.
 func (p *Pool) siblingsOn(t *task, r *runnerState) int {
--- a/core/pool/reservation.go
+++ b/core/pool/reservation.go
@@ -250,17 +250,7 @@
 	if !t.step.searchRoom(now) {
 		return nil
 	}
-	var candidates []*runnerState
-	var reserved *runnerState
-	for _, r := range usable {
-		switch {
-		case !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) || !r.canHold(t):
-		case !r.reservedForOther(t.step):
-			candidates = append(candidates, r)
-		case r.free().HasRoomFor(t.step.spec.Demand()):
-			reserved = r
-		}
-	}
+	candidates, reserved := p.roomCandidates(now, t, usable)
 	if len(candidates) > 0 {
 		p.reserveFor(now, t, candidates, usable)
 		return nil
@@ -272,6 +262,21 @@
 	return p.chooseWithheld(now, t)
 }
 
+// roomCandidates returns the usable runners that could hold a persistent task once their batch
+// tasks have ended, and among those that are reserved for other steps one with room now, or nil.
+func (p *Pool) roomCandidates(now time.Time, t *task, usable []*runnerState) (candidates []*runnerState, reserved *runnerState) {
+	for _, r := range usable {
+		switch {
+		case !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) || !r.canHold(t):
+		case !r.reservedForOther(t.step):
+			candidates = append(candidates, r)
+		case r.free().HasRoomFor(t.step.spec.Demand()):
+			reserved = r
+		}
+	}
+	return candidates, reserved
+}
+
 // reserveForGang keeps room for all members of a gang as of the earliest time at which
 // they are expected to fit. Only one gang has a reservation at a time.
 func (p *Pool) reserveForGang(now time.Time, step *stepState, usable []*runnerState) {
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -148,7 +148,7 @@
 
 // usable reports whether new tasks may be placed on the runner.
 func (r *runnerState) usable(now time.Time) bool {
-	return r.accepts(now) && !r.cordoned && r.health.admits(now, r.batchTasks)
+	return r.accepts(now) && r.withheld(now) == ""
 }
 
 // admits reports whether a usable runner may get the task in addition to those placed since.
@@ -157,10 +157,7 @@
 }
 
 // accepts reports whether the runner would accept new tasks, although it may be withheld.
-func (r *runnerState) accepts(now time.Time) bool {
-	return r.resolved && !r.Draining && r.missingSince.IsZero() &&
-		r.failedCalls == 0 && len(r.unknownRuns) == 0 && !now.Before(r.backoffUntil)
-}
+func (r *runnerState) accepts(now time.Time) bool { return r.refusal(now) == "" }
 
 // unreachable reports whether the runner has not answered for unreachableAfter.
 func (r *runnerState) unreachable(now time.Time) bool {
--- a/core/pool/simulation_owner_test.go
+++ b/core/pool/simulation_owner_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"time"
 
 	"bronzestair/core/job"
@@ -80,7 +81,7 @@
 	for _, r := range sim.runners {
 		if r.registered() {
 			event.Runners = append(event.Runners, Runner{
-				ID: r.id, Born: r.registeredBorn, Capacity: job.Resources{CPU: sim.runnerCPU, Memory: 65536}, Labels: []string{"a", "rack"},
+				ID: r.id, Born: r.registeredBorn, Capacity: job.Resources{CPU: sim.runnerCPU, Memory: 65536}, Labels: []string{"a", cmp.Or(r.rack, modelRack)},
 			})
 		}
 	}
--- a/core/pool/simulation_runner_test.go
+++ b/core/pool/simulation_runner_test.go
@@ -14,9 +14,11 @@
 type modelRunner struct {
 	simulation *simulation
 	id         RunnerID
-	dead       bool
-	born       time.Time
-	diedAt     time.Time
+	// rack is the runner's rack, modelRack if it is not set.
+	rack   string
+	dead   bool
+	born   time.Time
+	diedAt time.Time
 	// registeredBorn is the start time in the runner's registration, which follows born
 	// with a delay.
 	registeredBorn time.Time
@@ -39,9 +41,9 @@
 }
 
 type modelRun struct {
-	run    int
-	step   job.Step
-	endsAt time.Time
+	run               int
+	step              job.Step
+	startedAt, endsAt time.Time
 	// result is how the run ends at endsAt.
 	result RunResult
 }
@@ -97,7 +99,10 @@
 // newRun returns a run that starts now and ends as the simulation has it.
 func (r *modelRunner) newRun(e *StartTask, step job.Step) *modelRun {
 	sim := r.simulation
-	run := &modelRun{run: e.Run, step: step, endsAt: sim.now.Add(step.EstimatedRuntime), result: RunDone}
+	run := &modelRun{run: e.Run, step: step, startedAt: sim.now, endsAt: sim.now.Add(step.EstimatedRuntime), result: RunDone}
+	if sim.runtimeOf != nil {
+		run.endsAt = sim.now.Add(sim.runtimeOf(e.Task, r))
+	}
 	if sim.failsOn[r.id] {
 		run.endsAt, run.result = sim.now, RunFailed
 	}
@@ -156,6 +161,8 @@
 		progress := int(time.Duration(r.simulation.now.UnixNano()) / time.Millisecond % 100)
 		if run.step.Persistent {
 			progress = 100
+		} else if r.simulation.runtimeOf != nil {
+			progress = run.listedProgress(r.simulation.now)
 		}
 		polled.Running = append(polled.Running, RunningTask{Task: task, Run: run.run, ProgressPercent: progress})
 	}
@@ -164,6 +171,21 @@
 	return polled
 }
 
+// modelRack is the rack of runners without another one.
+const modelRack = "rack"
+
+// progressInterval is how often the listed progress of a run changes.
+const progressInterval = time.Second
+
+// listedProgress returns the percentage of a run as of the last multiple of progressInterval.
+func (run *modelRun) listedProgress(now time.Time) int {
+	listed := now.Truncate(progressInterval)
+	if !listed.After(run.startedAt) {
+		return 0
+	}
+	return int(100 * listed.Sub(run.startedAt) / run.endsAt.Sub(run.startedAt))
+}
+
 // listableEnds returns the number of ends that fit in the answer to a poll.
 func (r *modelRunner) listableEnds() int {
 	if limit := r.simulation.maxListedEnds; limit > 0 {
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -54,6 +54,11 @@
 	failsAfter func(task job.TaskID, run int) time.Duration
 	failsOn    map[RunnerID]bool
 	failure    RunResult
+	// runtimeOf returns the run time of a task that is started on a runner, if it is not nil. The
+	// estimate of its step is exact otherwise.
+	runtimeOf func(task job.TaskID, r *modelRunner) time.Duration
+	// observe is called with each effect, if it is not nil.
+	observe func(Effect)
 	// polls counts the polls of runners, starts the runs.
 	polls, starts int
 	uplink        modelLink
@@ -196,6 +201,9 @@
 }
 
 func (sim *simulation) perform(p *Pool, effect Effect) {
+	if sim.observe != nil {
+		sim.observe(effect)
+	}
 	switch e := effect.(type) {
 	case *StartTask:
 		r := sim.runner(e.Runner.ID)
--- a/core/pool/ticket.go
+++ b/core/pool/ticket.go
@@ -93,4 +93,10 @@
 	return cached.tickets[id]
 }
 
+// hasTickets reports whether the step has valid tickets, for whichever runners.
+func (p *Pool) hasTickets(now time.Time, step *stepState) bool {
+	cached := p.tickets[step.tasks[0].id.StepKey()]
+	return cached != nil && now.Add(ticketMargin).Before(cached.expires)
+}
+
 func (p *Pool) dropTickets(step string) { delete(p.tickets, step) }
--- a/core/pool/withheld.go
+++ b/core/pool/withheld.go
@@ -10,10 +10,18 @@
 // the task serves until the runner can be drained; meanwhile it does not use up the disruption
 // budget of its step, on which the drain may depend.
 func (p *Pool) chooseWithheld(now time.Time, t *task) *runnerState {
+	r := p.findWithheld(now, t)
+	if r != nil {
+		p.logWithheld(now, t, r)
+	}
+	return r
+}
+
+// findWithheld returns the runner of chooseWithheld.
+func (p *Pool) findWithheld(now time.Time, t *task) *runnerState {
 	for _, r := range p.runnerOrder {
 		if r.lastResort(now) && r.free().HasRoomFor(t.step.spec.Demand()) &&
 			p.meetsConstraints(t, r) && p.hasTicket(t, r, now) {
-			p.logWithheld(now, t, r)
 			return r
 		}
 	}
@@ -24,6 +32,15 @@
 // other runner has, or nil: one that is ejected, or cordoned and not drained of persistent
 // tasks yet.
 func (p *Pool) chooseOnlyPlace(now time.Time, t *task) *runnerState {
+	r := p.findOnlyPlace(now, t)
+	if r != nil {
+		p.logWithheld(now, t, r)
+	}
+	return r
+}
+
+// findOnlyPlace returns the runner of chooseOnlyPlace.
+func (p *Pool) findOnlyPlace(now time.Time, t *task) *runnerState {
 	if t.step.spec.RequiredLabel == "" {
 		return nil
 	}
@@ -37,9 +54,6 @@
 			best = r
 		}
 	}
-	if best != nil {
-		p.logWithheld(now, t, best)
-	}
 	return best
 }
 
