Restart the tail of a speculative step elsewhere

Cause: a step is as slow as its slowest task.

Change: with look-ahead, a task of a speculative step that is much slower than is typical for its step is stopped and starts on another runner with room, once. The stop is the usual one, so that no two runs exist at a time. Without look-ahead nothing changes.

--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -17,6 +17,8 @@
 	remaining int
 	ready     int
 	unblocked bool
+	// typical holds the run times of completed tasks, see typicalRuntimes.
+	typical typicalRuntimes
 	reservable
 }
 
--- a/core/pool/lookahead.go
+++ b/core/pool/lookahead.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// Lookahead selects whether placement takes into account what waits and what ends soon, and
+// Lookahead selects whether slow tasks of speculative steps are restarted elsewhere, and
 // whether moves between pools follow a forecast of demand that rotates.
 type Lookahead uint8
 
@@ -33,3 +33,6 @@
 func (l Lookahead) Enabled(organisations bool) bool {
 	return l == LookaheadOn || l == LookaheadAuto && organisations
 }
+
+// looksAhead reports whether look-ahead is enabled under the configuration in force.
+func (p *Pool) looksAhead() bool { return p.options.Lookahead.Enabled(p.organisations != nil) }
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -314,6 +314,7 @@
 	p.retryStops(now)
 	p.drainRunners(now)
 	p.stopStalled(now)
+	p.restartTailTasks(now)
 	p.expireFailures(now)
 	for _, r := range p.runnerOrder {
 		p.throttleBestEffort(now, r)
--- a/core/pool/runtime.go
+++ b/core/pool/runtime.go
@@ -57,6 +57,9 @@
 	if end.Result != RunDone || t.confirmedAt.IsZero() || t.runner != r || t.resumed || spec.Persistent || spec.BestEffort {
 		return
 	}
+	if p.looksAhead() && spec.Speculative {
+		t.step.typical.record(now.Sub(t.confirmedAt))
+	}
 	t.job.runtimes.record(spec.EstimatedRuntime, now.Sub(t.confirmedAt))
 }
 
--- a/core/pool/task.go
+++ b/core/pool/task.go
@@ -44,6 +44,9 @@
 	// lastFailedOn is the runner of the last run that failed or stalled.
 	lastFailedOn RunnerID
 
+	// tailRestarted is true once the task was stopped because it ran much longer than its siblings.
+	tailRestarted bool
+
 	orderedAt       time.Time // when the last start or stop order was sent
 	orderCount      int       // orders of this run that were sent
 	inFlight        bool      // an order awaits its answer
