--- a/core/pool/lookahead_load_test.go
+++ b/core/pool/lookahead_load_test.go
@@ -115,6 +115,8 @@
 	// as of its last start.
 	lastStart []time.Time
 	ends      []map[int]time.Time
+	// restarts counts the starts of tasks that had started before.
+	restarts int
 }
 
 // exponential returns a random number from 1 to high of an exponential distribution, whose
@@ -164,7 +166,9 @@
 	if j.ends[task.Step] == nil {
 		j.ends[task.Step] = map[int]time.Time{}
 	}
-	if _, again := j.ends[task.Step][task.Index]; !again {
+	if _, again := j.ends[task.Step][task.Index]; again {
+		j.restarts++
+	} else {
 		j.lastStart[task.Step] = now
 	}
 	j.ends[task.Step][task.Index] = now.Add(runtime)
@@ -187,8 +191,8 @@
 
 // loadResult is what was measured of the jobs of one queue.
 type loadResult struct {
-	jobs, met int
-	waits     []time.Duration
+	jobs, met, restarts int
+	waits               []time.Duration
 }
 
 // share returns the share of the jobs that met their objective.
@@ -230,6 +234,7 @@
 			results[j.kind.queue] = r
 		}
 		r.jobs++
+		r.restarts += j.restarts
 		if finished, ok := sim.finishedAt[id]; ok && finished.Sub(j.submitted) <= j.objective {
 			r.met++
 		}
@@ -278,6 +283,7 @@
 					for queue, r := range results {
 						b.ReportMetric(float64(r.jobs), string(queue)+"-jobs")
 						b.ReportMetric(r.share(), string(queue)+"-met")
+						b.ReportMetric(float64(r.restarts), string(queue)+"-restarts")
 						b.ReportMetric(r.wait(0.5).Seconds(), string(queue)+"-p50-s")
 						b.ReportMetric(r.wait(0.95).Seconds(), string(queue)+"-p95-s")
 					}
@@ -305,3 +311,19 @@
 		t.Errorf("look-ahead lets %.3f more wide jobs meet their objective, want at least %.2f", gain, minGain)
 	}
 }
+
+// TestTasksWithoutTailRunOnce guards against restarts of tasks that are slower than others for
+// an ordinary reason: they differ by a tenth, run on a rack without their data, or began shortly
+// before their progress was listed.
+func TestTasksWithoutTailRunOnce(t *testing.T) {
+	c := loadScenario{"site1", 40, 64000, []loadKind{wideSite1.withHotRack(), quickSite1.withHotRack()}, 0.5, func(time.Duration) float64 { return 1 }}
+	results := map[job.QueueName]*loadResult{}
+	for seed := range uint64(3) {
+		playLoad(t, c, seed, 20*time.Second, LookaheadOn, results)
+	}
+	for queue, r := range results {
+		if r.restarts > 0 {
+			t.Errorf("%d tasks of %d %s jobs were restarted, want none", r.restarts, r.jobs, queue)
+		}
+	}
+}
--- a/core/pool/lookahead_tail.go
+++ b/core/pool/lookahead_tail.go
@@ -21,6 +21,9 @@
 	// the progress of a run shows its length.
 	minProgressTime    = 300 * time.Millisecond
 	minProgressPercent = 2
+	// progressLag is how old the progress may be that a runner lists: without it, tasks that began
+	// shortly before the listed time looked slow.
+	progressLag = 250 * time.Millisecond
 	// minTailTime is the least typical run time of a step whose tasks are restarted: below it,
 	// the stop and the list that confirms it take as long as a run.
 	minTailTime = 300 * time.Millisecond
@@ -110,7 +113,7 @@
 	var buffer [maxTypicalRuntimes]time.Duration
 	projected := buffer[:0]
 	for i := range s.tasks {
-		if d := s.tasks[i].projectedRuntime(); d > 0 && len(projected) < maxTypicalRuntimes {
+		if d := s.tasks[i].projectedRuntime(0); d > 0 && len(projected) < maxTypicalRuntimes {
 			projected = append(projected, d)
 		}
 	}
@@ -122,13 +125,13 @@
 }
 
 // projectedRuntime returns the run time that the listed progress of a running task leads to
-// expect, or 0 if it is not known.
-func (t *task) projectedRuntime() time.Duration {
+// expect if it is as old as given, or 0 if it is not known.
+func (t *task) projectedRuntime(age time.Duration) time.Duration {
 	ran := t.progressAt.Sub(t.confirmedAt)
 	if t.state != running || t.resumed || t.progressPercent < minProgressPercent || ran < minProgressTime {
 		return 0
 	}
-	return ran * 100 / time.Duration(t.progressPercent)
+	return (ran - age) * 100 / time.Duration(t.progressPercent)
 }
 
 // inTail reports whether a running task is much slower than is typical, and would end sooner
@@ -137,7 +140,7 @@
 	if t.state != running || t.tailRestarted || t.resumed || t.checkpoint != "" || now.Sub(t.runner.lastAnswer) > unreachableAfter {
 		return false
 	}
-	if projected := t.projectedRuntime(); projected > 0 {
+	if projected := t.projectedRuntime(progressLag); projected > 0 {
 		remaining := t.confirmedAt.Add(projected).Sub(now)
 		return float64(projected) > slowFactor*float64(typical) && float64(remaining) > restartGain*float64(typical)
 	}
