Leave racks to the tasks that have their data there; evaluate placements

Cause: tasks without data on a rack filled it by best fit, and those with data there ran elsewhere and took twice as long.

--- a/cmd/bronzestair-entry/main.go
+++ b/cmd/bronzestair-entry/main.go
@@ -51,7 +51,7 @@
 func run(out *logs.Writer, arguments []string) error {
 	var options platform.EntryOptions
 	flags := flag.NewFlagSet("bronzestair-entry", flag.ContinueOnError)
-	flags.Var(&options.Lookahead, "lookahead", "whether to restart slow tasks of speculative steps elsewhere and to follow forecasts of demand: auto, on or off; auto means on while the configuration has organisations")
+	flags.Var(&options.Lookahead, "lookahead", "whether to restart slow tasks of speculative steps elsewhere, to leave racks to tasks with data there and to follow forecasts of demand: auto, on or off; auto means on while the configuration has organisations")
 	if err := flags.Parse(arguments); err != nil {
 		return err
 	}
--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -207,6 +207,8 @@
 	failedBefore   bool // the last failed run of the task was on this runner
 	otherRack      bool // the data or the siblings are on another rack
 	recentFailures int  // failures of the runner since its last success
+	// wantedRack is true if others have their data on the runner's rack, and look-ahead is enabled.
+	wantedRack bool
 	// firstPersistent is true if the task would be the runner's first persistent one.
 	firstPersistent bool
 	warmUp          time.Duration // how much longer the runner is slow after its start
@@ -218,6 +220,7 @@
 		compareBool(s.failedBefore, o.failedBefore),
 		cmp.Compare(s.recentFailures, o.recentFailures),
 		compareBool(s.otherRack, o.otherRack),
+		compareBool(s.wantedRack, o.wantedRack),
 		compareBool(s.firstPersistent, o.firstPersistent),
 		cmp.Compare(s.warmUp, o.warmUp),
 		cmp.Compare(s.freeCPU, o.freeCPU),
@@ -239,7 +242,7 @@
 	spec := t.step.spec
 	s := placementScore{
 		failedBefore: t.lastFailedOn == r.ID, recentFailures: r.health.failures, warmUp: r.WarmUpRemaining,
-		freeCPU: r.free().CPU - spec.Demand().CPU,
+		freeCPU: r.free().CPU - spec.Demand().CPU, wantedRack: p.takesWantedRoom(t, r),
 	}
 	if spec.DataRack != "" {
 		s.otherRack = !r.hasLabel(spec.DataRack)
--- a/core/pool/explain_test.go
+++ b/core/pool/explain_test.go
@@ -21,7 +21,7 @@
 		Count: 1 + random.IntN(6), Resources: job.Resources{CPU: job.MilliCPU(500 * (1 + random.IntN(12))), Memory: 64},
 		EstimatedRuntime: time.Duration(200+random.IntN(1500)) * time.Millisecond, Speculative: random.IntN(2) == 0,
 	}
-	switch random.IntN(8) {
+	switch random.IntN(9) {
 	case 0:
 		step.Gang, step.Count = true, 2
 	case 1:
@@ -30,6 +30,8 @@
 		step.RequiredLabel = "gpu"
 	case 3:
 		step.SameRack = true
+	case 4:
+		step.DataRack = "rack-1"
 	}
 	spec := job.Spec{Steps: []job.Step{step}}
 	if random.IntN(3) == 0 {
@@ -51,6 +53,10 @@
 func busySimulation(t *testing.T, seed uint64, lookahead Lookahead) *simulation {
 	sim := newSimulation(t, seed, 8, faults{})
 	sim.pool.options.Lookahead = lookahead
+	for i, r := range sim.runners {
+		r.rack = fmt.Sprintf("rack-%d", i/4)
+	}
+	sim.listRunners()
 	random := rand.New(rand.NewPCG(seed, 3))
 	sim.after(0, func() { sim.submit(1, persistentSpec(3, 2000)) })
 	for n := range 100 {
--- a/core/pool/lookahead.go
+++ b/core/pool/lookahead.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// Lookahead selects whether slow tasks of speculative steps are restarted elsewhere, and
-// whether moves between pools follow a forecast of demand that rotates.
+// Lookahead selects whether slow tasks of speculative steps are restarted elsewhere, whether racks
+// are left to the tasks that have their data there, and whether moves between pools follow a forecast of demand that rotates.
 type Lookahead uint8
 
 // The settings of Lookahead.
--- a/core/pool/lookahead_load_test.go
+++ b/core/pool/lookahead_load_test.go
@@ -98,6 +98,7 @@
 	{"site1/wide-bursts", 56, 64000, []loadKind{wideSite1}, 1.5, bursting},
 	{"site1/shared-bursts", 56, 64000, []loadKind{quickSite1, wideSite1}, 0.85, bursting},
 	{"site1/wide-hot-rack", 85, 64000, []loadKind{wideSite1.withHotRack()}, 1, rotating},
+	{"site1/quick-hot-rack", 56, 64000, []loadKind{quickSite1.withHotRack()}, 1, bursting},
 	{"site2/wide-rotating", 85, 32000, []loadKind{wideSite2}, 1, rotating},
 	{"site2/quick-rotating", 85, 32000, []loadKind{quickSite2}, 1, rotating},
 	{"site2/shared-bursts", 56, 32000, []loadKind{quickSite2, wideSite2}, 0.85, bursting},
@@ -327,3 +328,22 @@
 		}
 	}
 }
+
+// TestHotRackIsLeftToItsTasks guards against tasks without data on a rack that take its room, so
+// that tasks with data there run elsewhere and take twice as long.
+func TestHotRackIsLeftToItsTasks(t *testing.T) {
+	const minGain = 0.01
+	c := loadScenario{"site1", 40, 64000, []loadKind{quickSite1.withHotRack()}, 0.5, func(time.Duration) float64 { return 1 }}
+	shares := map[Lookahead]float64{}
+	for _, lookahead := range []Lookahead{LookaheadOff, LookaheadOn} {
+		results := map[job.QueueName]*loadResult{}
+		for seed := range uint64(2) {
+			playLoad(t, c, seed, 20*time.Second, lookahead, results)
+		}
+		shares[lookahead] = results["quick"].share()
+	}
+	t.Logf("share of quick jobs that meet their objective: %.3f without look-ahead, %.3f with it", shares[LookaheadOff], shares[LookaheadOn])
+	if gain := shares[LookaheadOn] - shares[LookaheadOff]; gain < minGain {
+		t.Errorf("look-ahead lets %.3f more quick jobs meet their objective, want at least %.2f", gain, minGain)
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -136,6 +136,8 @@
 	rankedAt     time.Time
 	ranked       []*jobState
 	reservations []*reservation
+	// wantedRacks is kept while look-ahead is enabled, see findWantedRacks.
+	wantedRacks map[string]bool
 	// steppedDown is true once this ownership has ended. Reduce then ignores events.
 	steppedDown bool
 	// startsInFlight counts the starts that await their answer, startWindow limits them.
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -93,6 +93,7 @@
 			p.ranked = append(p.ranked, j)
 		}
 	}
+	p.findWantedRacks()
 	slices.SortFunc(p.ranked, compareJobs)
 	if p.deferUnmeetable(now) {
 		slices.SortFunc(p.ranked, compareJobs)
