--- a/core/pool/explain.go
+++ b/core/pool/explain.go
@@ -186,6 +186,7 @@
 }
 
 // stepObstacle returns why no task of a step of a new job may start now, on whichever runner.
+// Limits that dispatch sets on a whole job or its organisation belong here, too.
 func (p *Pool) stepObstacle(now time.Time, j *jobState, step *stepState) Obstacle {
 	switch {
 	case j.occurrences[0].due.After(now):
