--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -57,8 +57,11 @@
 // startWindowFull reports whether as many starts await their answer as the window
 // permits. A load peak may bring more tasks than a small entry can start. An answer that
 // is then read too late counts as missing, and its task runs twice.
-func (p *Pool) startWindowFull() bool {
-	return float64(p.startsInFlight) >= p.startWindow.bound(p.options.MaxStartsInFlight)
+func (p *Pool) startWindowFull() bool { return p.startsBeyondWindow(0) }
+
+// startsBeyondWindow reports whether the window is full once that many more tasks have started.
+func (p *Pool) startsBeyondWindow(more int) bool {
+	return float64(p.startsInFlight+more) >= p.startWindow.bound(p.options.MaxStartsInFlight)
 }
 
 // maxOpenRoom returns the largest open amount of each resource on any of the runners.
@@ -178,7 +181,7 @@
 	var best *runnerState
 	var bestScore placementScore
 	for _, r := range usable {
-		if !r.free().HasRoomFor(t.step.spec.Demand()) || !r.admits(now, t) || !r.respectsReservation(now, t) || !p.meetsConstraints(t, r) || !p.hasTicket(t, r, now) {
+		if p.obstacle(now, t, r) != "" {
 			continue
 		}
 		s := p.score(t, r)
@@ -190,16 +193,7 @@
 }
 
 // meetsConstraints checks a task's placement constraints other than resources.
-func (p *Pool) meetsConstraints(t *task, r *runnerState) bool {
-	spec := t.step.spec
-	if spec.RequiredLabel != "" && !r.hasLabel(spec.RequiredLabel) {
-		return false
-	}
-	if spec.MaxPerInstance > 0 && p.siblingsOn(t, r) >= spec.MaxPerInstance {
-		return false
-	}
-	return true
-}
+func (p *Pool) meetsConstraints(t *task, r *runnerState) bool { return p.constraint(t, r) == "" }
 
 // siblingsOn counts the tasks of the task's step on a runner.
 func (p *Pool) siblingsOn(t *task, r *runnerState) int {
@@ -217,6 +211,8 @@
 	failedBefore   bool // the last failed run of the task was on this runner
 	otherRack      bool // the data or the siblings are on another rack
 	recentFailures int  // failures of the runner since its last success
+	// wantedRack is true if others have their data on the runner's rack, and look-ahead is enabled.
+	wantedRack bool
 	// firstPersistent is true if the task would be the runner's first persistent one.
 	firstPersistent bool
 	warmUp          time.Duration // how much longer the runner is slow after its start
@@ -228,6 +224,7 @@
 		compareBool(s.failedBefore, o.failedBefore),
 		cmp.Compare(s.recentFailures, o.recentFailures),
 		compareBool(s.otherRack, o.otherRack),
+		compareBool(s.wantedRack, o.wantedRack),
 		compareBool(s.firstPersistent, o.firstPersistent),
 		cmp.Compare(s.warmUp, o.warmUp),
 		cmp.Compare(s.freeCPU, o.freeCPU),
@@ -249,7 +246,7 @@
 	spec := t.step.spec
 	s := placementScore{
 		failedBefore: t.lastFailedOn == r.ID, recentFailures: r.health.failures, warmUp: r.WarmUpRemaining,
-		freeCPU: r.free().CPU - spec.Demand().CPU,
+		freeCPU: r.free().CPU - spec.Demand().CPU, wantedRack: p.takesWantedRoom(t, r),
 	}
 	if spec.DataRack != "" {
 		s.otherRack = !r.hasLabel(spec.DataRack)
--- a/core/pool/lookahead.go
+++ b/core/pool/lookahead.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// Lookahead selects whether placement takes into account what waits and what ends soon, and
-// whether moves between pools follow a forecast of demand that rotates.
+// Lookahead selects whether slow tasks of speculative steps are restarted elsewhere, whether racks
+// are left to the tasks that have their data there, and whether moves between pools follow a forecast of demand that rotates.
 type Lookahead uint8
 
 // The settings of Lookahead.
@@ -33,3 +33,6 @@
 func (l Lookahead) Enabled(organisations bool) bool {
 	return l == LookaheadOn || l == LookaheadAuto && organisations
 }
+
+// looksAhead reports whether look-ahead is enabled under the configuration in force.
+func (p *Pool) looksAhead() bool { return p.options.Lookahead.Enabled(p.organisations != nil) }
--- a/core/pool/quota.go
+++ b/core/pool/quota.go
@@ -151,21 +151,12 @@
 // waitsForCap reports whether the next start of a step, which is a task or a whole gang, would
 // exceed what its organisation may have running in the pool.
 func (p *Pool) waitsForCap(now time.Time, j *jobState, step *stepState) bool {
-	u := j.usage
-	if u == nil || u.limit == (job.Resources{}) {
-		return false
-	}
-	demand := times(step.spec.Resources, step.ready)
-	need := step.spec.Resources
-	if step.spec.Gang {
-		need = demand
-	}
-	budget := quota.Budget{Cap: u.limit, Floor: p.quotas.floor.Floor(u.limit, now)}
-	budget.Lent, budget.WholeTask = u.lent(now)
-	if budget.Admits(u.assigned.Add(p.quotas.unresolved), need) {
+	if !p.exceedsCap(now, j, step) {
 		return false
 	}
-	u.waiting = u.waiting.Add(demand)
+	u := j.usage
+	budget := p.budget(now, u)
+	u.waiting = u.waiting.Add(times(step.spec.Resources, step.ready))
 	if step.reservation != nil {
 		p.endReservation(now, step.reservation, "the step waits for the cap of its organisation", 0)
 	}
@@ -173,6 +164,28 @@
 	return true
 }
 
+// exceedsCap reports whether the next start of a step would exceed what its organisation may
+// have running in the pool.
+func (p *Pool) exceedsCap(now time.Time, j *jobState, step *stepState) bool {
+	u := j.usage
+	if u == nil || u.limit == (job.Resources{}) {
+		return false
+	}
+	need := step.spec.Resources
+	if step.spec.Gang {
+		need = times(need, step.ready)
+	}
+	budget := p.budget(now, u)
+	return !budget.Admits(u.assigned.Add(p.quotas.unresolved), need)
+}
+
+// budget returns what an organisation may have running in the pool.
+func (p *Pool) budget(now time.Time, u *usage) quota.Budget {
+	b := quota.Budget{Cap: u.limit, Floor: p.quotas.floor.Floor(u.limit, now)}
+	b.Lent, b.WholeTask = u.lent(now)
+	return b
+}
+
 // logCapWait logs that a job begins to wait for its cap, once for each job.
 func (p *Pool) logCapWait(now time.Time, j *jobState, step *stepState, budget *quota.Budget) {
 	u := j.usage
--- a/core/pool/rank.go
+++ b/core/pool/rank.go
@@ -102,6 +102,7 @@
 			p.ranked = append(p.ranked, j)
 		}
 	}
+	p.findWantedRacks()
 	slices.SortFunc(p.ranked, compareJobs)
 	deferred := p.deferUnmeetable(now)
 	p.updateShares(now, deferred || p.lateJobs())
