Charge callers for what arrives, within a budget of memory and descriptors

Cause: net/http turned incomplete heads into map entries, job bodies were read without a limit over all of them, bodies had no timeout, and nothing limited connections.

Change: core/intake charges connections, header lines and body bytes, and decides which connection is closed to make room. io/intake enforces it for the servers of both daemons; the verification of heads moves there from io/caller, so that only complete heads reach net/http. The Go runtime's soft memory limit follows from memory_mb.

--- a/bronzestair.go
+++ b/bronzestair.go
@@ -29,6 +29,7 @@
 
 	"bronzestair/core/entry"
 	"bronzestair/core/fleet"
+	"bronzestair/core/intake"
 	"bronzestair/core/runner"
 	"bronzestair/core/settings"
 	"bronzestair/io/backend"
@@ -143,12 +144,13 @@
 	e.books = platform.NewBookWriter(e.platform, string(s.Entry), incarnation, e.logger)
 	e.callerServer = caller.NewServer(e.loop, e.backend, &e.directory, e.books,
 		caller.WithLimits(limits(s)),
+		caller.WithBudget(intake.BudgetFor(intake.Bytes(s.MemoryMB)*intake.MiB, s.MaxFDs)),
 		caller.WithTrustedCallerHeader(s.TrustCallerHeader),
 		caller.WithTracer(e.telemetry.Tracer(), s.TraceRatio),
 		caller.WithMeter(e.telemetry.Meter()),
 		caller.WithLogger(e.logger))
 	e.peers = peer.New(s.Entry, e.loop, &e.directory, e.logger)
-	e.operators = operator.NewServer(e, e.telemetry.Handler())
+	e.operators = operator.NewServer(e, e.telemetry.Handler(), e.callerServer.Gate())
 	e.loop.Register(e.callerServer, DefaultPriority)
 	e.loop.Register(e.peers, DefaultPriority)
 	e.loop.Register(&prober{entry: e}, DefaultPriority)
--- a/cmd/bronzestair-entry/main.go
+++ b/cmd/bronzestair-entry/main.go
@@ -22,6 +22,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"bronzestair/core/intake"
 	"bronzestair/io/logs"
 	"bronzestair/platform"
 )
@@ -68,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if memory := settings.Memory(); memory > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(intake.RuntimeMemory(memory)))
+	}
 	logger := slog.New(slog.NewJSONHandler(out, nil)).With("entry", settings.Instance)
 	entry, err := platform.NewEntry(settings, options, logger)
 	if err != nil {
--- a/cmd/bronzestaird/main.go
+++ b/cmd/bronzestaird/main.go
@@ -23,6 +23,7 @@
 	"syscall"
 
 	"bronzestair"
+	"bronzestair/core/intake"
 	"bronzestair/core/settings"
 	"bronzestair/io/command"
 )
@@ -52,6 +53,9 @@
 	if err := command.Parse(flags, args); err != nil {
 		return err
 	}
+	if s.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(intake.RuntimeMemory(intake.Bytes(s.MemoryMB) * intake.MiB)))
+	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel})).
 		With("entry", s.Entry, "dataCentre", s.DataCentre)
 	e, err := bronzestair.New(bronzestair.WithSettings(s), bronzestair.WithLogger(logger))
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -61,6 +61,10 @@
 	MaxBodyBytes      int64
 	MaxHeaderBytes    int
 	MaxConnections    int
+	// MemoryMB and MaxFDs are the memory of the instance in MiB and the descriptors of the
+	// process. Zero means that no limit is derived from them.
+	MemoryMB int
+	MaxFDs   int
 	HeaderTimeout     time.Duration
 	BodyTimeout       time.Duration
 	IdleTimeout       time.Duration
@@ -89,6 +93,8 @@
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", defaultBodyBytes, "largest body of a request")
 	flags.IntVar(&s.MaxHeaderBytes, "max-header-bytes", defaultHeaderBytes, "largest head of a request")
 	flags.IntVar(&s.MaxConnections, "max-connections", defaultConnections, "most connections of callers")
+	flags.IntVar(&s.MemoryMB, "memory-mb", 0, "memory of the instance in MiB, from which limits on callers are derived; 0 for none")
+	flags.IntVar(&s.MaxFDs, "max-fds", 0, "descriptors of the process, from which the limit on connections is derived; 0 for none")
 	flags.DurationVar(&s.HeaderTimeout, "header-timeout", defaultHeaderTimeout, "how long a caller may take to send a head")
 	flags.DurationVar(&s.BodyTimeout, "body-timeout", defaultBodyTimeout, "how long a caller may take to send a body")
 	flags.DurationVar(&s.IdleTimeout, "idle-timeout", defaultIdleTimeout, "how long a caller's connection may be idle")
@@ -146,6 +152,8 @@
 	errorIf(s.MaxBodyBytes < 1, "maxBodyBytes is %d, below 1", s.MaxBodyBytes)
 	errorIf(s.MaxHeaderBytes < 1024, "maxHeaderBytes is %d, below 1024", s.MaxHeaderBytes)
 	errorIf(s.MaxConnections < 1, "maxConnections is %d, below 1", s.MaxConnections)
+	errorIf(s.MemoryMB < 0, "memoryMb is %d, below 0", s.MemoryMB)
+	errorIf(s.MaxFDs < 0, "maxFds is %d, below 0", s.MaxFDs)
 	errorIf(s.HeaderTimeout <= 0, "headerTimeout is %v, not above 0", s.HeaderTimeout)
 	errorIf(s.BodyTimeout <= 0, "bodyTimeout is %v, not above 0", s.BodyTimeout)
 	errorIf(s.IdleTimeout <= 0, "idleTimeout is %v, not above 0", s.IdleTimeout)
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -77,7 +77,7 @@
 // reportDisconnect tells the reducer, once, that the caller has disconnected.
 // It does nothing while the connection is open.
 func (s *Server) reportDisconnect(ex *exchange) {
-	if ex.disconnectReported || ex.conn == nil || !ex.conn.disconnected() {
+	if ex.disconnectReported || ex.conn == nil || !ex.conn.Disconnected() {
 		return
 	}
 	ex.disconnectReported = true
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bronzestair/io/intake"
 	"bytes"
 	"errors"
 	"io"
@@ -81,5 +82,9 @@
 	if errors.As(err, &tooLarge) {
 		return newProblem(http.StatusRequestEntityTooLarge, "body has more than %d bytes", tooLarge.Limit)
 	}
+	var givenUp *intake.Error
+	if errors.As(err, &givenUp) {
+		return newProblem(givenUp.Status(), "%v", givenUp)
+	}
 	return badRequest("body did not come whole: %v", err)
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -10,6 +10,7 @@
 	"bronzestair/core/entry"
 	"bronzestair/core/verdict"
 	"bronzestair/io/backend"
+	"bronzestair/io/intake"
 )
 
 // effectBacklog is the capacity of an exchange's effect channel. The reducer
@@ -43,7 +44,7 @@
 	deadline time.Time
 	// response is the complete response of the last attempt.
 	response *backend.ServerResponse
-	conn     *conn
+	conn     *intake.Conn
 	// disconnectReported is set once the reducer was told that the caller has
 	// disconnected.
 	disconnectReported bool
--- a/io/caller/prepare.go
+++ b/io/caller/prepare.go
@@ -4,15 +4,17 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"bronzestair/io/intake"
 )
 
 // prepare parses the request, checks it against the configuration and reads its
 // body as far as it is buffered, before the reducer decides on it.
 func (s *Server) prepare(ex *exchange, w http.ResponseWriter, r *http.Request) *problem {
 	ex.received = time.Now()
-	ex.conn = connFromContext(r.Context())
-	if r.URL.Path == rejectedPath && ex.conn != nil && ex.conn.rejection != nil {
-		return ex.conn.rejection
+	ex.conn = intake.FromContext(r.Context())
+	if rejection := ex.conn.Rejection(r.URL.Path); rejection != nil {
+		return rejectionProblem(rejection)
 	}
 	call, p := parseCall(r, s.trustCallerHeader)
 	ex.call = call
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -8,6 +8,7 @@
 
 	"bronzestair/core/entry"
 	"bronzestair/core/verdict"
+	"bronzestair/io/intake"
 )
 
 // problem is a problem document (RFC 9457).
@@ -32,6 +33,10 @@
 	return newProblem(http.StatusBadRequest, format, args...)
 }
 
+// rejectionProblem returns the problem document for a request that was rejected before it
+// was parsed.
+func rejectionProblem(r *intake.Rejection) *problem { return newProblem(r.Status, "%s", r.Detail) }
+
 // refusalProblem returns the problem document for a request that the reducer refused.
 func refusalProblem(reason entry.Reason, v verdict.Verdict) *problem {
 	status := statusOf(reason)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -33,9 +33,11 @@
 
 	"bronzestair/core/book"
 	"bronzestair/core/entry"
+	coreintake "bronzestair/core/intake"
 	"bronzestair/core/runner"
 	"bronzestair/core/service"
 	"bronzestair/io/backend"
+	"bronzestair/io/intake"
 )
 
 // Loop runs the reducer and dispatches its effects.
@@ -125,6 +127,14 @@
 	return l
 }
 
+// intake returns the limits that apply before a request is handed to the handler.
+func (l Limits) intake() intake.Limits {
+	return intake.Limits{
+		HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, BodyTimeout: l.BodyTimeout,
+		WriteTimeout: l.WriteTimeout, IdleTimeout: l.IdleTimeout,
+	}
+}
+
 // Server serves callers. Use NewServer.
 type Server struct {
 	loop              Loop
@@ -139,6 +149,8 @@
 	logger            *slog.Logger
 	exchanges         exchanges
 	http              *http.Server
+	budget            coreintake.Budget
+	gate              *intake.Gate
 }
 
 // Option configures a Server.
@@ -162,6 +174,14 @@
 	}
 }
 
+// WithBudget sets the memory and the number of connections that callers may use together.
+// By default they are practically unlimited.
+func WithBudget(b coreintake.Budget) Option { return func(s *Server) { s.budget = b } }
+
+// Gate returns the gate that holds the callers' connections. Other servers of the process may
+// use it too.
+func (s *Server) Gate() *intake.Gate { return s.gate }
+
 // WithMeter sets the meter for the server's metrics.
 func WithMeter(m metric.Meter) Option { return func(s *Server) { s.metrics = newMetrics(m) } }
 
@@ -171,7 +191,7 @@
 // NewServer returns a server. Call Serve to start it.
 func NewServer(loop Loop, sender Sender, directory Directory, books Books, options ...Option) *Server {
 	s := &Server{
-		loop: loop, sender: sender, directory: directory, books: books,
+		loop: loop, sender: sender, directory: directory, books: books, budget: coreintake.BudgetFor(0, 0),
 		tracer: noop.NewTracerProvider().Tracer("caller"),
 		logger: slog.New(slog.DiscardHandler),
 	}
@@ -186,19 +206,13 @@
 		Handler: e,
 		// OPTIONS * is rejected like every target that is not a path.
 		DisableGeneralOptionsHandler: true,
-		// conn enforces the header size and the timeouts itself. net/http gets twice
-		// the limit, so that conn's limit takes effect first.
-		MaxHeaderBytes: 2 * s.limits.HeaderBytes,
-		ErrorLog:       slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c)
-		},
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if callerConn, ok := c.(*conn); ok {
-				callerConn.active.Store(state == http.StateActive)
-			}
-		},
+		ErrorLog:                     slog.NewLogLogger(s.logger.Handler(), slog.LevelDebug),
 	}
+	limits := s.limits.intake()
+	s.gate = intake.NewGate(intake.Options{
+		Budget: s.budget, Limits: func() intake.Limits { return limits }, ChecksDisconnect: true, Logger: s.logger,
+	})
+	s.gate.Install(s.http)
 	return s
 }
 
@@ -218,7 +232,7 @@
 
 // Serve accepts connections on l until Shutdown is called.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(newListener(l, s.limits))
+	err := s.http.Serve(s.gate.Listener(newListener(l, s.limits.Connections)))
 	if err == http.ErrServerClosed {
 		return nil
 	}
--- a/io/caller/framing.go
+++ b/io/intake/framing.go
@@ -1,4 +1,4 @@
-package caller
+package intake
 
 import (
 	"bytes"
@@ -32,22 +32,27 @@
 	state framingState
 	// remaining is the number of bytes of the body or chunk still to come.
 	remaining int64
+	// completed is the number of requests whose end has been accepted.
+	completed int
 }
 
 // advance checks unverified bytes and returns how many of them are valid and can
 // be passed on.
-func (f *framing) advance(data []byte, maxHead int) (int, *problem) {
+func (f *framing) advance(data []byte, maxHead int) (int, *Rejection) {
 	accepted := 0
 	for {
 		n, p := f.step(data[accepted:], maxHead)
 		accepted += n
+		if n > 0 && f.state == inHead {
+			f.completed++
+		}
 		if p != nil || n == 0 {
 			return accepted, p
 		}
 	}
 }
 
-func (f *framing) step(data []byte, maxHead int) (int, *problem) {
+func (f *framing) step(data []byte, maxHead int) (int, *Rejection) {
 	switch f.state {
 	case inHead:
 		return f.head(data, maxHead)
@@ -77,10 +82,10 @@
 	return int(n)
 }
 
-func (f *framing) head(data []byte, maxHead int) (int, *problem) {
+func (f *framing) head(data []byte, maxHead int) (int, *Rejection) {
 	end := bytes.Index(data, []byte("\r\n\r\n"))
 	if end > maxHead || (end < 0 && len(data) > maxHead) {
-		return 0, newProblem(http.StatusRequestHeaderFieldsTooLarge, "the head has more than %d bytes", maxHead)
+		return 0, reject(http.StatusRequestHeaderFieldsTooLarge, "the head has more than %d bytes", maxHead)
 	}
 	if end < 0 {
 		return 0, checkLineEndings(data)
@@ -102,7 +107,7 @@
 var crlf = []byte("\r\n")
 
 // checkLineEndings rejects a head with a line that ends in a bare line feed.
-func checkLineEndings(data []byte) *problem {
+func checkLineEndings(data []byte) *Rejection {
 	for i, c := range data {
 		if c == '\n' && (i == 0 || data[i-1] != '\r') {
 			return badRequest("a line of the head ends without a carriage return")
@@ -123,7 +128,7 @@
 
 // parseFraming parses the headers that determine the length of the body. It also
 // rejects everything that net/http would reject without a problem document.
-func parseFraming(head []byte) (length int64, chunked bool, p *problem) {
+func parseFraming(head []byte) (length int64, chunked bool, p *Rejection) {
 	start, rest, _ := bytes.Cut(head, crlf)
 	version, p := checkRequestLine(start)
 	if p != nil {
@@ -153,7 +158,7 @@
 }
 
 // add parses one header line.
-func (f *framingFields) add(line []byte) (p *problem) {
+func (f *framingFields) add(line []byte) (p *Rejection) {
 	name, value, p := splitHeader(line)
 	if p != nil {
 		return p
@@ -166,7 +171,7 @@
 		f.encodingCount++
 		f.chunked = bytes.EqualFold(value, []byte("chunked"))
 		if !f.chunked {
-			p = newProblem(http.StatusNotImplemented, "transfer encoding %q is not served", value)
+			p = reject(http.StatusNotImplemented, "transfer encoding %q is not served", value)
 		}
 	case isHeader(name, "Host"):
 		f.hostCount++
@@ -175,7 +180,7 @@
 		}
 	case isHeader(name, "Expect"):
 		if !bytes.EqualFold(value, []byte("100-continue")) {
-			p = newProblem(http.StatusExpectationFailed, "expectation %q is not met", value)
+			p = reject(http.StatusExpectationFailed, "expectation %q is not met", value)
 		}
 	}
 	return p
@@ -186,7 +191,7 @@
 }
 
 // checkRequestLine checks method, target and version, and returns the version.
-func checkRequestLine(line []byte) (version string, p *problem) {
+func checkRequestLine(line []byte) (version string, p *Rejection) {
 	if p := checkLineEndings(line); p != nil {
 		return "", p
 	}
@@ -197,7 +202,7 @@
 	}
 	version = string(protocol)
 	if version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return "", newProblem(http.StatusHTTPVersionNotSupported, "version %q is not served", protocol)
+		return "", reject(http.StatusHTTPVersionNotSupported, "version %q is not served", protocol)
 	}
 	if isSimpleTarget(target) {
 		return version, nil
@@ -224,7 +229,7 @@
 }
 
 // splitHeader validates a header line and returns its name and value.
-func splitHeader(line []byte) (name, value []byte, p *problem) {
+func splitHeader(line []byte) (name, value []byte, p *Rejection) {
 	colon := bytes.IndexByte(line, ':')
 	if colon <= 0 {
 		return nil, nil, badRequest("a line of the head is no header")
@@ -240,7 +245,7 @@
 	return name, value, nil
 }
 
-func parseContentLength(value []byte) (int64, *problem) {
+func parseContentLength(value []byte) (int64, *Rejection) {
 	for _, c := range value {
 		if c < '0' || c > '9' {
 			return 0, badRequest("header Content-Length is %q, not a number", value)
@@ -253,7 +258,7 @@
 	return n, nil
 }
 
-func (f *framing) chunkSize(data []byte) (int, *problem) {
+func (f *framing) chunkSize(data []byte) (int, *Rejection) {
 	line, n, p := completeLine(data)
 	if n == 0 || p != nil {
 		return 0, p
@@ -271,7 +276,7 @@
 	return n, nil
 }
 
-func (f *framing) chunkEnd(data []byte) (int, *problem) {
+func (f *framing) chunkEnd(data []byte) (int, *Rejection) {
 	if len(data) < len(crlf) {
 		return 0, nil
 	}
@@ -282,7 +287,7 @@
 	return len(crlf), nil
 }
 
-func (f *framing) trailer(data []byte) (int, *problem) {
+func (f *framing) trailer(data []byte) (int, *Rejection) {
 	line, n, p := completeLine(data)
 	if n == 0 || p != nil {
 		return 0, p
@@ -299,7 +304,7 @@
 
 // completeLine returns the first line without its CRLF and its length including
 // the CRLF, 0 if the line is not complete yet.
-func completeLine(data []byte) (line []byte, n int, p *problem) {
+func completeLine(data []byte) (line []byte, n int, p *Rejection) {
 	end := bytes.IndexByte(data, '\n')
 	if end < 0 {
 		if len(data) > maxChunkLine {
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -14,11 +14,11 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"bronzestair/core/entry"
+	"bronzestair/io/intake"
 )
 
 // Paths served on the operators' address.
@@ -30,8 +30,6 @@
 	PathProfile = "/debug/pprof/profile"
 )
 
-const readHeaderTimeout = 5 * time.Second
-
 // StatusSource reports the readiness and status of an entry.
 type StatusSource interface {
 	// Ready reports whether the load balancer may send requests to the entry.
@@ -42,10 +40,11 @@
 // Server serves operators. Use NewServer.
 type Server struct {
 	http *http.Server
+	gate *intake.Gate
 }
 
-// NewServer returns a server. Call Serve to start it.
-func NewServer(source StatusSource, metrics http.Handler) *Server {
+// NewServer returns a server whose connections belong to gate. Call Serve to start it.
+func NewServer(source StatusSource, metrics http.Handler, gate *intake.Gate) *Server {
 	e := echo.New()
 	e.GET(PathHealth, func(c echo.Context) error {
 		return c.String(http.StatusOK, "ok\n")
@@ -61,12 +60,14 @@
 	})
 	e.GET(PathMetrics, echo.WrapHandler(metrics))
 	e.GET(PathProfile, echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
-	return &Server{http: &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}}
+	s := &Server{http: &http.Server{Handler: intake.RefuseRejected(e)}, gate: gate}
+	gate.Install(s.http)
+	return s
 }
 
 // Serve accepts connections on l until Shutdown is called.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(s.gate.Listener(l))
 	if err == http.ErrServerClosed {
 		return nil
 	}
--- a/metrics.go
+++ b/metrics.go
@@ -29,6 +29,9 @@
 // registerMetrics creates the instruments whose values are read from the state
 // at each scrape.
 func (e *Entry) registerMetrics() {
+	if err := e.telemetry.ObserveIntake(e.callerServer.Gate()); err != nil {
+		e.logger.Error("registering the metrics of the intake failed", "error", err)
+	}
 	meter := e.telemetry.Meter()
 	var instruments []metric.Observable
 	gauges := make([]metric.Int64ObservableGauge, len(serviceGauges))
