--- a/core/intake/doc.go
+++ b/core/intake/doc.go
@@ -5,7 +5,7 @@
 // lines cost far more than their length, as a parsed line is an entry of a map, and body
 // bytes are copied once when the body is decoded. Charges beyond the budget are made room
 // for by closing connections, in this order: idle ones, the longest idle first, and then
-// unfinished requests, the one first whose last progress is the longest ago. Progress is a
+// unfinished requests and newcomers, the one first whose last progress is the longest ago. Progress is a
 // step of ProgressBytes, so that a caller who sends single bytes makes none. A connection with
 // a request that has been read completely and is not answered is never closed.
 //
@@ -14,6 +14,6 @@
 //	ledger := intake.NewLedger[*conn](intake.BudgetFor(memory, descriptors))
 //	victim, ok := ledger.Open(&client, now)        // one connection may have to be closed
 //	victims, ok := ledger.Receive(&client, receipt, now)
-//	ledger.Answer(&client, kept, now)
+//	ledger.Answer(&client, kept, false, now)
 //	ledger.Close(&client)
 package intake
--- a/core/intake/ledger.go
+++ b/core/intake/ledger.go
@@ -5,6 +5,10 @@
 // ProgressBytes is the step in which the progress of an unfinished request is measured.
 const ProgressBytes Bytes = KiB
 
+// idleAge is the time from which a connection without a request counts as idle. A newcomer
+// needs some time until its request arrives.
+const idleAge = 500 * time.Millisecond
+
 // Reason says why a connection was closed or a request refused.
 type Reason string
 
@@ -130,15 +134,14 @@
 }
 
 // Answer records that the oldest request of a connection is answered. kept is the charge
-// for bytes that have arrived and belong to later requests.
-func (l *Ledger[T]) Answer(c *Client[T], kept Bytes, now time.Time) {
+// for bytes that have arrived and belong to later requests, unfinished is true if they end
+// within a request.
+func (l *Ledger[T]) Answer(c *Client[T], kept Bytes, unfinished bool, now time.Time) {
 	if !c.open {
 		return
 	}
 	c.unanswered = max(0, c.unanswered-1)
-	if kept == 0 {
-		c.unfinished = false
-	}
+	c.unfinished = unfinished
 	c.progress, c.stepBytes = now, 0
 	l.add(c, ConnectionCost+kept-c.charged)
 }
@@ -147,6 +150,9 @@
 // answered yet.
 func (l *Ledger[T]) Unanswered(c *Client[T]) bool { return c.unanswered > 0 }
 
+// Abandon records that no further request of a connection is answered: it is being closed.
+func (l *Ledger[T]) Abandon(c *Client[T]) { c.unanswered = 0 }
+
 // Close removes a connection. It may be called again.
 func (l *Ledger[T]) Close(c *Client[T]) {
 	if !c.open {
@@ -172,7 +178,7 @@
 func (l *Ledger[T]) evict(needs *Client[T], now time.Time) (Victim[T], bool) {
 	var first *Client[T]
 	for _, c := range l.clients {
-		if c != needs && c.unanswered == 0 && (first == nil || c.before(first)) {
+		if c != needs && c.unanswered == 0 && (first == nil || c.before(first, now)) {
 			first = c
 		}
 	}
@@ -188,9 +194,11 @@
 }
 
 // before reports whether c is closed before other.
-func (c *Client[T]) before(other *Client[T]) bool {
-	if c.unfinished != other.unfinished {
-		return other.unfinished
+func (c *Client[T]) before(other *Client[T], now time.Time) bool {
+	if idle := c.idle(now); idle != other.idle(now) {
+		return idle
 	}
 	return c.progress.Before(other.progress)
 }
+
+func (c *Client[T]) idle(now time.Time) bool { return !c.unfinished && now.Sub(c.progress) >= idleAge }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -63,12 +63,12 @@
 	MaxConnections    int
 	// MemoryMB and MaxFDs are the memory of the instance in MiB and the descriptors of the
 	// process. Zero means that no limit is derived from them.
-	MemoryMB int
-	MaxFDs   int
-	HeaderTimeout     time.Duration
-	BodyTimeout       time.Duration
-	IdleTimeout       time.Duration
-	ConnectTimeout    time.Duration
+	MemoryMB       int
+	MaxFDs         int
+	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
+	IdleTimeout    time.Duration
+	ConnectTimeout time.Duration
 }
 
 // Default returns the default settings.
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -342,6 +342,7 @@
 // Close closes the connection, so that the listener may accept another one.
 func (c *Conn) Close() error {
 	c.closed.Do(func() {
+		c.gate.abandon(c)
 		c.linger()
 		c.gate.release(c)
 	})
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -99,7 +99,7 @@
 	kept := intake.Bytes(len(c.buffer)) * intake.HeadByteCost
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ledger.Answer(&c.client, kept, time.Now())
+	g.ledger.Answer(&c.client, kept, c.framing.state != inHead || c.verifiedBytes < len(c.buffer), time.Now())
 }
 
 // RefuseRejected returns a handler that answers rejected requests in plain text and passes
@@ -155,6 +155,13 @@
 	return g.ledger.Unanswered(&c.client)
 }
 
+// abandon makes a connection that is being closed eligible for closure under pressure.
+func (g *Gate) abandon(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Abandon(&c.client)
+}
+
 func (g *Gate) release(c *Conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/otel/otel.go
+++ b/io/otel/otel.go
@@ -64,9 +64,13 @@
 // Tracer returns the tracer for the program's spans.
 func (t *Telemetry) Tracer() trace.Tracer { return t.tracerProvider.Tracer(t.name) }
 
-// Handler serves the metrics in the Prometheus text format.
+// maxScrapes limits the responses with metrics, some 100 KB each, that are prepared at once.
+const maxScrapes = 8
+
+// Handler serves the metrics in the Prometheus text format. Beyond maxScrapes requests at
+// once, it responds with status 503.
 func (t *Telemetry) Handler() http.Handler {
-	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(t.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // Close exports the remaining spans and shuts down the providers.
