--- a/cmd/bronzestaird/main.go
+++ b/cmd/bronzestaird/main.go
@@ -32,6 +32,10 @@
 // megabytes. The environment variable GOGC takes precedence.
 const gcPercent = 300
 
+// limitedGCPercent applies instead if the memory of the instance is limited, so that garbage
+// takes no more than what callers use.
+const limitedGCPercent = 100
+
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
@@ -54,6 +58,9 @@
 		return err
 	}
 	if s.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		if os.Getenv("GOGC") == "" {
+			debug.SetGCPercent(limitedGCPercent)
+		}
 		debug.SetMemoryLimit(int64(intake.RuntimeMemory(intake.Bytes(s.MemoryMB) * intake.MiB)))
 	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel})).
