Keep a request in flight when its successor on the connection is invalid

Cause: net/http's read in the background got an error once a pipelined request was rejected, which cancels the request in flight; requests that were complete before the rejected one were not counted, so that the connection could be closed under pressure. The kernel's receive buffer was limited without memory_mb, too.

Change: the read in the background returns no error, complete requests are counted before the rejection, and the receive buffer is part of the budget.

--- a/core/intake/budget.go
+++ b/core/intake/budget.go
@@ -46,6 +46,10 @@
 	// take. The rest is for calls to runners, the store and other entries.
 	descriptorShare = 2
 
+	// receiveBuffer suffices for the rates of callers within a region. Bytes in it count
+	// towards the memory of the instance.
+	receiveBuffer = 32 * KiB
+
 	// unlimitedBudget and unlimitedConnections apply if the settings name no limits.
 	unlimitedBudget      = 1024 * MiB
 	unlimitedConnections = 4096
@@ -59,6 +63,9 @@
 type Budget struct {
 	Bytes       Bytes
 	Connections int
+	// ReceiveBuffer is the size of the kernel's receive buffer of a connection, which the
+	// kernel doubles. Zero leaves the size to the kernel.
+	ReceiveBuffer Bytes
 }
 
 // BudgetFor returns the budget of a process with the given memory and number of
@@ -66,6 +73,7 @@
 func BudgetFor(memory Bytes, descriptors int) Budget {
 	b := Budget{Bytes: unlimitedBudget, Connections: unlimitedConnections}
 	if memory > 0 {
+		b.ReceiveBuffer = receiveBuffer
 		b.Bytes = max(minBudget, (memory-ownMemory)/budgetDivisor)
 		b.Connections = min(b.Connections, int(b.Bytes/connectionShare/ConnectionCost))
 	}
--- a/core/intake/ledger_test.go
+++ b/core/intake/ledger_test.go
@@ -135,11 +135,11 @@
 		descriptors int
 		want        Budget
 	}{
-		{0, 0, Budget{1024 * MiB, 4096}},
-		{184 * MiB, 4100, Budget{57 * MiB, 729}},
-		{284 * MiB, 4100, Budget{107 * MiB, 1369}},
-		{536 * MiB, 8192, Budget{233 * MiB, 2982}},
-		{64 * MiB, 100, Budget{8 * MiB, 16}},
+		{0, 0, Budget{1024 * MiB, 4096, 0}},
+		{184 * MiB, 4100, Budget{57 * MiB, 729, 32 * KiB}},
+		{284 * MiB, 4100, Budget{107 * MiB, 1369, 32 * KiB}},
+		{536 * MiB, 8192, Budget{233 * MiB, 2982, 32 * KiB}},
+		{64 * MiB, 100, Budget{8 * MiB, 16, 32 * KiB}},
 	} {
 		if diff := cmp.Diff(step.want, BudgetFor(step.memory, step.descriptors)); diff != "" {
 			t.Errorf("budget of %d bytes and %d descriptors (-want +got):\n%s", step.memory, step.descriptors, diff)
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -116,7 +116,8 @@
 	switch {
 	case c.failure != nil:
 		return 0, c.failure
-	case c.doomed && c.active.Load():
+	case len(p) == 1 && c.active.Load() && (c.doomed || c.rejection != nil && c.verifiedBytes == 0):
+		// This is the read in the background, and an error would cancel the request in flight.
 		return 0, nil
 	case c.doomed:
 		return 0, io.EOF
@@ -179,11 +180,11 @@
 		// A request was received completely: restart the timer for the next one.
 		c.waitSince = time.Time{}
 	}
-	if p != nil {
-		c.reject(p)
-		return nil
+	if err := c.receive(n, cost); err != nil || p == nil || c.rejection != nil {
+		return err
 	}
-	return c.receive(n, cost)
+	c.reject(p)
+	return nil
 }
 
 // receive charges n bytes that have been read, and checks the rate of a body.
--- a/io/intake/gate.go
+++ b/io/intake/gate.go
@@ -26,9 +26,6 @@
 )
 
 const (
-	// receiveBufferBytes is the size of the kernel's receive buffer of a connection, which
-	// the kernel doubles. Bytes in it count towards the instance's memory.
-	receiveBufferBytes = 32 << 10
 	// maxLogLines is the number of log lines per second about connections that were closed.
 	maxLogLines = 10
 	// parserHeaderBytes is the limit of net/http, which only sees heads within Limits.
@@ -214,13 +211,15 @@
 
 // Listener returns a listener whose connections belong to the gate.
 func (g *Gate) Listener(l net.Listener) net.Listener {
-	limitReceiveBuffer(l)
+	if size := g.options.Budget.ReceiveBuffer; size > 0 {
+		limitReceiveBuffer(l, size)
+	}
 	return &listener{Listener: l, gate: g}
 }
 
 // limitReceiveBuffer sets the receive buffer of the connections that a listener accepts,
 // which inherit it. It does nothing for listeners without a descriptor.
-func limitReceiveBuffer(l net.Listener) {
+func limitReceiveBuffer(l net.Listener, size intake.Bytes) {
 	sc, ok := l.(syscall.Conn)
 	if !ok {
 		return
@@ -231,7 +230,7 @@
 	}
 	_ = raw.Control(func(fd uintptr) {
 		// Without the limit, connections work as well and may take more memory.
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, int(size))
 	})
 }
 
--- a/io/intake/gate_test.go
+++ b/io/intake/gate_test.go
@@ -187,6 +187,47 @@
 	}
 }
 
+// TestInvalidSuccessor guards against a request in flight that is closed, cancelled or left
+// without an answer because what follows it on the connection is invalid or has no room.
+func TestInvalidSuccessor(t *testing.T) {
+	for name, test := range map[string]struct{ successor, want string }{
+		"invalid":   {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400 "},
+		"no room":   {fmt.Sprintf(post, "large", 200_000, "", strings.Repeat("x", 200_000)), "503 "},
+		"half head": {"GET / HTTP/1.1\r\n", ""},
+	} {
+		for _, together := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " at once ", together), func(t *testing.T) {
+				release := make(chan struct{})
+				s := serve(t, intake.Budget{Bytes: 4 * intake.ConnectionCost, Connections: 3}, generous, release)
+				first := fmt.Sprintf(post, "wait", 1, "", "x")
+				if together {
+					first += test.successor
+				}
+				c, r := s.dial(t, first)
+				waitFor(t, func() bool { return s.gate.Used().Bytes > intake.ConnectionCost })
+				if !together {
+					go func() { _, _ = io.WriteString(c, test.successor) }() // it may be closed before the end
+				}
+				for range 5 {
+					newcomer, newcomerReader := s.dial(t, fmt.Sprintf(post, "small", 1, "Connection: close\r\n", "x"))
+					_ = next(newcomerReader) // refused if the budget is used up
+					_ = newcomer.Close()
+				}
+				close(release)
+				if got := next(r); got != "200 /wait 1" {
+					t.Errorf("the request in flight got %q", got)
+				}
+				if test.want == "" {
+					return
+				}
+				if got := next(r); got != test.want {
+					t.Errorf("its successor got %q, want %q", got, test.want)
+				}
+			})
+		}
+	}
+}
+
 // TestRefusalIsDefinite guards against requests that are handed on although they are refused:
 // complete requests use up the budget, so a large one gets 503, before and after its head was
 // handed on.
