--- a/cmd/bronzestaird/main.go
+++ b/cmd/bronzestaird/main.go
@@ -23,6 +23,7 @@
 	"syscall"
 
 	"bronzestair"
+	"bronzestair/core/intake"
 	"bronzestair/core/settings"
 	"bronzestair/io/command"
 )
@@ -31,6 +32,10 @@
 // megabytes. The environment variable GOGC takes precedence.
 const gcPercent = 300
 
+// limitedGCPercent applies instead if the memory of the instance is limited, so that garbage
+// takes no more than what callers use.
+const limitedGCPercent = 100
+
 func main() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
@@ -52,6 +57,12 @@
 	if err := command.Parse(flags, args); err != nil {
 		return err
 	}
+	if s.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		if os.Getenv("GOGC") == "" {
+			debug.SetGCPercent(limitedGCPercent)
+		}
+		debug.SetMemoryLimit(int64(intake.RuntimeMemory(intake.Bytes(s.MemoryMB) * intake.MiB)))
+	}
 	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: s.LogLevel})).
 		With("entry", s.Entry, "dataCentre", s.DataCentre)
 	e, err := bronzestair.New(bronzestair.WithSettings(s), bronzestair.WithLogger(logger))
