Buffer chunked bodies at bronzestaird without spare capacity

Cause: the buffer for the first 64 KiB of a chunked body had 128 KiB and left as much garbage.

Change: the buffer doubles up to 64 KiB.

--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -12,6 +12,10 @@
 // entry keeps in memory.
 const maxBufferedBody = 64 << 10
 
+// firstBufferedBytes is the size of the first buffer for a body of unknown length. Buffers
+// double up to maxBufferedBody.
+const firstBufferedBytes = 4 << 10
+
 // body is a request body: either fully buffered, or a stream that starts with
 // the part read so far.
 type body struct {
@@ -58,17 +62,23 @@
 // readChunked reads a body of unknown length. It buffers a body of less than
 // maxBufferedBody bytes and returns a longer one as a stream.
 func readChunked(r *http.Request, b body) (body, *problem) {
-	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, r.Body, maxBufferedBody)
-	if err == io.EOF {
-		b.buffered = buffer.Bytes()
-		b.length = int64(buffer.Len())
-		return b, nil
-	}
-	if err != nil {
-		return b, bodyReadProblem(err)
+	buffer := make([]byte, 0, firstBufferedBytes)
+	for len(buffer) < maxBufferedBody {
+		if len(buffer) == cap(buffer) {
+			buffer = append(make([]byte, 0, min(2*cap(buffer), maxBufferedBody)), buffer...)
+		}
+		n, err := r.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err == io.EOF {
+			b.buffered = buffer
+			b.length = int64(len(buffer))
+			return b, nil
+		}
+		if err != nil {
+			return b, bodyReadProblem(err)
+		}
 	}
-	b.stream = &countingReader{Reader: io.MultiReader(&buffer, r.Body)}
+	b.stream = &countingReader{Reader: io.MultiReader(bytes.NewReader(buffer), r.Body)}
 	return b, nil
 }
 
