Reveal no job of a queue with keys to callers of a public queue

Cause: a pool's owner knows jobs by their ids alone. A caller of a public queue has no organisation, and could read the state of an organisation's job in another queue of the same pool.

Change: for a caller without an organisation the owner answers only for jobs of public queues; otherwise the rows decide, which are stored by queue. A test also covers the way of a refusal to the entry.

--- a/core/pool/report.go
+++ b/core/pool/report.go
@@ -28,8 +28,8 @@
 	Pool    job.PoolName
 	Runners []RunnerReport
 	// RunningCPU and ReadyCPU are the CPU demands of assigned and of ready tasks. Here
-	// and below, jobs that have missed their objective do not count, because they run
-	// on the capacity that the others leave.
+	// and below, jobs that have missed their objective or are in excess do not count,
+	// because they run on the capacity that the others leave.
 	RunningCPU, ReadyCPU job.MilliCPU
 	// Arriving is the forecast arrival rate of work in millicores. Backlog is the work
 	// of the ready tasks in millicore-seconds.
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -117,12 +117,16 @@
 	return job.Queued, true
 }
 
-// OrganisationOf returns the organisation of a job that the owner knows, or "".
-func (p *Pool) OrganisationOf(id job.ID) job.Organisation {
+// JobOrigin returns the queue and the organisation of a job that the owner knows. The queue is
+// empty once the job's outcome is stored.
+func (p *Pool) JobOrigin(id job.ID) (job.QueueName, job.Organisation) {
+	if outcome, ok := p.ended[id]; ok {
+		return "", outcome.Organisation
+	}
 	if j := p.jobs[id]; j != nil {
-		return j.record.Organisation
+		return j.record.Queue, j.record.Organisation
 	}
-	return p.ended[id].Organisation
+	return "", ""
 }
 
 // Waiting counts the jobs of a queue that have not ended and of which no task has started.
--- a/manager/excess_test.go
+++ b/manager/excess_test.go
@@ -174,6 +174,68 @@
 	want(t, "excess", excess, []bool{false, true})
 }
 
+// TestRefusalReachesTheEntry guards against a refusal as excess that loses its time to retry
+// between the owner and another entry, or that this entry passes on although a write of its own
+// may have stored the job.
+func TestRefusalReachesTheEntry(t *testing.T) {
+	o, _, _ := excessOwner(t, newMemoryStore(), true)
+	o.m.pools[o.name] = o
+	submit := func(n int) (SubmitResult, error) {
+		record := excessRecord(n, "lodge")
+		return o.m.Submit(t.Context(), &catalog.Queue{Name: record.Queue, Pool: o.name}, record.Organisation, record.ID, &record.Spec)
+	}
+	result, err := submit(1)
+	wantError(t, "error of a job within the rate", err, nil)
+	want(t, "result of a job within the rate", result, Stored)
+	result, err = submit(2)
+	var excess *ExcessError
+	want(t, "result", result, Excess)
+	want(t, "error is an ExcessError", errors.As(err, &excess), true)
+
+	record := excessRecord(3, "lodge")
+	value, err := record.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, err := o.m.StoreJob(t.Context(), o.name, value)
+	wantError(t, "error for a peer", err, nil)
+	want(t, "result for a peer", reply.Result, uint8(Excess))
+	want(t, "time to retry for a peer", reply.RetryAfter >= time.Second, true)
+
+	o.m.direct.uncertainJobs.reconcile(time.Now(), record.ID, MayBeStored)
+	result, _ = submit(3)
+	want(t, "result of a job that this entry may have stored", result, MayBeStored)
+}
+
+// TestOwnerRevealsNoJobOfAnotherQueue guards against a caller of a public queue who reads the
+// state of a job of another queue that needs a key, because both queues share a pool.
+func TestOwnerRevealsNoJobOfAnotherQueue(t *testing.T) {
+	for _, public := range []bool{false, true} {
+		o, _, _ := excessOwner(t, newMemoryStore(), false)
+		record := excessRecord(1, "lodge")
+		o.m.catalog.Replace(&catalog.Catalog{
+			Version: 2, Organisations: o.m.catalog.Get().Organisations,
+			Queues: []catalog.Queue{{Name: record.Queue, Public: public}, {Name: "open", Public: true}},
+		})
+		now := time.Now()
+		p := pool.New(pool.Options{Pool: o.name}, now)
+		p.Reduce(now, &pool.JobStored{Record: record, Version: 1})
+		go func() {
+			for query := range o.queries {
+				query(t.Context(), p)
+			}
+		}()
+		read := func(caller job.Organisation) job.State {
+			state, err := o.jobState(t.Context(), caller, record.ID)
+			wantError(t, "error", err, nil)
+			return state
+		}
+		want(t, "state for the organisation", read("lodge"), job.Queued)
+		want(t, "state known without a key", read("") != "", public)
+		close(o.queries)
+	}
+}
+
 // TestUnreadableStoreRefusesNothing guards against a refusal while it is not known whether the
 // job is stored.
 func TestUnreadableStoreRefusesNothing(t *testing.T) {
--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"bronzestair/core/catalog"
@@ -196,15 +197,29 @@
 // jobState returns the state of a job, "" if the owner does not know it, or ErrForbidden.
 func (o *poolOwner) jobState(ctx context.Context, caller job.Organisation, id job.ID) (state job.State, err error) {
 	o.runQuery(ctx, func(_ context.Context, p *pool.Pool) {
-		if !p.OrganisationOf(id).Permits(caller) {
+		queue, organisation := p.JobOrigin(id)
+		switch {
+		case !organisation.Permits(caller):
 			err = ErrForbidden
-			return
+		case caller == "" && organisation != "" && !o.m.isPublic(queue):
+			// The caller of a public queue has named a job of another queue of this pool. The
+			// rows, which are stored by queue, tell the entry that there is no such job.
+		default:
+			state, _ = p.State(id)
 		}
-		state, _ = p.State(id)
 	})
 	return state, err
 }
 
+// isPublic reports whether callers of a queue need no key.
+func (m *Manager) isPublic(name job.QueueName) bool {
+	c := m.catalog.Get()
+	if c == nil || c.Organisations == nil {
+		return true
+	}
+	return slices.ContainsFunc(c.Queues, func(q catalog.Queue) bool { return q.Name == name && q.Public })
+}
+
 func (o *poolOwner) countWaiting(ctx context.Context, queue job.QueueName) (int, error) {
 	n := 0
 	loaded := false
