Answer peers' calls that time out with the code of a time-out

Cause: the called entry answered a call whose deadline had passed with code Internal, if it noticed before the calling one.

Change: context errors keep their code.

--- a/io/owner/server.go
+++ b/io/owner/server.go
@@ -26,6 +26,9 @@
 		return nil
 	case errors.Is(err, ErrNotOwner):
 		return status.Error(codes.FailedPrecondition, err.Error())
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		// Peers count calls that time out, whichever side notices first.
+		return status.FromContextError(err).Err()
 	default:
 		return status.Error(codes.Internal, err.Error())
 	}
