--- a/core/pool/share.go
+++ b/core/pool/share.go
@@ -40,7 +40,7 @@
 	allowedJobs = 3
 	// startedAhead is the part of the work of started jobs that precedes the jobs of
 	// organisations within their allowance. The rest waits for earlier steps.
-	startedAhead = 0.5
+	startedAhead = 0.75
 	// maxChargedPause bounds the time between two rankings for which use is charged.
 	maxChargedPause = 100 * time.Millisecond
 	// shareLogInterval is the minimum time between two log lines on deferred jobs of one
--- a/core/pool/simulation_runner_test.go
+++ b/core/pool/simulation_runner_test.go
@@ -98,6 +98,10 @@
 func (r *modelRunner) newRun(e *StartTask, step job.Step) *modelRun {
 	sim := r.simulation
 	run := &modelRun{run: e.Run, step: step, endsAt: sim.now.Add(step.EstimatedRuntime), result: RunDone}
+	if sim.runtimeSpread > 0 {
+		factor := 1 + sim.runtimeSpread*(2*sim.random.Float64()-1)
+		run.endsAt = sim.now.Add(time.Duration(factor * float64(step.EstimatedRuntime)))
+	}
 	if sim.failsOn[r.id] {
 		run.endsAt, run.result = sim.now, RunFailed
 	}
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -54,6 +54,8 @@
 	failsAfter func(task job.TaskID, run int) time.Duration
 	failsOn    map[RunnerID]bool
 	failure    RunResult
+	// runtimeSpread is the largest part by which run times differ from their estimates.
+	runtimeSpread float64
 	// polls counts the polls of runners, starts the runs.
 	polls, starts int
 	uplink        modelLink
