--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -19,6 +19,9 @@
 	unblocked bool
 	// typical holds the run times of completed tasks, see typicalRuntimes.
 	typical typicalRuntimes
+	// share caches the dominant share of one task's demand in a pool of the capacity shareOf.
+	share   float64
+	shareOf job.Resources
 	reservable
 }
 
--- a/core/pool/simulation_runner_test.go
+++ b/core/pool/simulation_runner_test.go
@@ -102,6 +102,9 @@
 	run := &modelRun{run: e.Run, step: step, startedAt: sim.now, endsAt: sim.now.Add(step.EstimatedRuntime), result: RunDone}
 	if sim.runtimeOf != nil {
 		run.endsAt = sim.now.Add(sim.runtimeOf(e.Task, r))
+	} else if sim.runtimeSpread > 0 {
+		factor := 1 + sim.runtimeSpread*(2*sim.random.Float64()-1)
+		run.endsAt = sim.now.Add(time.Duration(factor * float64(step.EstimatedRuntime)))
 	}
 	if sim.failsOn[r.id] {
 		run.endsAt, run.result = sim.now, RunFailed
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -59,6 +59,8 @@
 	runtimeOf func(task job.TaskID, r *modelRunner) time.Duration
 	// observe is called with each effect, if it is not nil.
 	observe func(Effect)
+	// runtimeSpread is the largest part by which run times differ from their estimates.
+	runtimeSpread float64
 	// polls counts the polls of runners, starts the runs.
 	polls, starts int
 	uplink        modelLink
