Pass each pool the leases that were planned for it

Cause: the calls took the leases of their pool from a map from which they were already deleted.

Change: the request is taken before the call begins. The test plays the exchange through the owner of the fleet; it fails without the change.

--- a/manager/fleet_owner.go
+++ b/manager/fleet_owner.go
@@ -176,12 +176,13 @@
 	}
 	leases := f.lending.plan(c)
 	for _, p := range c.Pools {
+		request := leases[p.Name]
+		delete(leases, p.Name)
 		go f.m.guardShard(ctx, fleetShard, func() {
-			if report, ok := f.syncPool(ctx, p.Name, cordons[p.Name], leases[p.Name]); ok {
+			if report, ok := f.syncPool(ctx, p.Name, cordons[p.Name], request); ok {
 				f.submit(&maintenance.PoolReported{Report: report})
 			}
 		})
-		delete(leases, p.Name)
 	}
 	for name, request := range leases { // pools with an owner that are not configured
 		go f.m.guardShard(ctx, fleetShard, func() { f.syncPool(ctx, name, nil, request) })
