--- a/core/pool/quota.go
+++ b/core/pool/quota.go
@@ -183,8 +183,12 @@
 		u.unlogged++
 		return
 	}
+	var dataAge time.Duration
+	if !u.syncedAt.IsZero() {
+		dataAge = now.Sub(u.syncedAt)
+	}
 	p.emit(&LogDecision{
-		Job: j.id(), Step: step.tasks[0].id.StepKey(), Decision: "capReached", DataAge: max(0, now.Sub(u.syncedAt)),
+		Job: j.id(), Step: step.tasks[0].id.StepKey(), Decision: "capReached", DataAge: dataAge,
 		Reason: fmt.Sprintf("organisation %s: needs %s, assigned %s, unresolved %s, floor %s, lease %s, cap %s; %d further jobs since the last line",
 			j.record.Organisation, describe(step.spec.Resources), describe(u.assigned), describe(p.quotas.unresolved),
 			describe(budget.Floor), describe(budget.Lent), describe(u.limit), u.unlogged),
