Keep leases while a new owner of a pool has not recovered

Cause: a pool whose owner changed while it was permitted a whole task counted with the capacity of all runners not yet heard from, and all leases of the organisation ended.

Change: the bound that was known before applies then, too, and no other pool gets the permission meanwhile. A test covers late starts.

--- a/core/pool/quota_test.go
+++ b/core/pool/quota_test.go
@@ -171,6 +171,36 @@
 	want(t, "use after the stop", h.load().Used, job.Resources{})
 }
 
+// TestLateStartCounts covers the failure "delegate late": a start counts from its decision until its
+// refusal or end is known, also while it is being stopped.
+func TestLateStartCounts(t *testing.T) {
+	h := newCappedHarness(t, Options{}, job.Resources{CPU: 4000})
+	h.runners("r1")
+	h.answerPoll("r1", nil, nil)
+	h.storeJobOf(testOrganisation, 1, tasksOf(2, 1000))
+	used := func(label string, n job.MilliCPU) {
+		t.Helper()
+		want(t, label, h.load().Used, job.Resources{CPU: n})
+	}
+	used("use before any answer", 2000)
+	h.send(&TaskStarted{Runner: "r1", Task: taskID(1, 0, 0), Run: 1, CallResult: RefusedInvalid, Sent: h.now})
+	used("use after a refusal", 1000)
+	late := taskID(1, 0, 1)
+	for range maxStartOrders {
+		h.send(&TaskStarted{Runner: "r1", Task: late, Run: 1, CallResult: Unknown, Sent: h.now})
+		used("use after a start without an answer", 1000)
+	}
+	want(t, "state of the task", h.pool.jobs[jobID(1)].task(late).state, stopping)
+	h.send(&JobEnded{ID: jobID(1), Outcome: job.Outcome{State: job.Cancelled}})
+	used("use after the job was cancelled", 1000)
+	h.now = h.now.Add(stopRetryDelay)
+	h.send(&TaskStopped{Runner: "r1", Task: late, Run: 1, CallResult: Done, Sent: h.now})
+	used("use after the stop, before a list shows that the run is not there", 1000)
+	h.now = h.now.Add(minPollInterval)
+	h.answerPoll("r1", nil, nil)
+	used("use once the runner lists it no longer", 0)
+}
+
 // TestLoweredCapStopsNothing covers the failure "cap lowered below current usage".
 func TestLoweredCapStopsNothing(t *testing.T) {
 	h := newCappedHarness(t, Options{}, job.Resources{CPU: 8000})
--- a/core/quota/lender.go
+++ b/core/quota/lender.go
@@ -90,7 +90,8 @@
 	loads map[job.Organisation]Load
 	// bounds are upper bounds of what is running if no lease is used.
 	bounds map[job.Organisation]job.Resources
-	// wholeTasks holds the last call that permitted a whole task, until a later one is answered.
+	// wholeTasks holds the last call that permitted a whole task, until a report with all
+	// that is in use has answered a later one.
 	wholeTasks map[job.Organisation]int64
 	// removedAt is when the pool was last found to be neither configured nor owned.
 	removedAt time.Time
@@ -271,10 +272,12 @@
 		return
 	}
 	bounds := map[job.Organisation]job.Resources{}
+	limited := map[job.Organisation]bool{} // by what was known before the report
 	for organisation, load := range report.Loads {
 		bounds[organisation] = load.Used
 		if prior, ok := l.priorBound(now, p, organisation); ok && !report.Recovered {
 			bounds[organisation] = smallest(load.Used, prior)
+			limited[organisation] = bounds[organisation] != load.Used
 		}
 	}
 	answered := p.sends[index]
@@ -288,7 +291,7 @@
 	p.sends = append([]send{answered}, p.sends[index+1:]...)
 	p.owner, p.answered, p.bounds, p.loads, p.reportedAt = report.Fence, number, bounds, report.Loads, now
 	for organisation, permitted := range p.wholeTasks {
-		if number > permitted {
+		if number > permitted && !limited[organisation] {
 			delete(p.wholeTasks, organisation)
 		}
 	}
@@ -300,11 +303,12 @@
 }
 
 // priorBound returns the upper bound of what runs in a pool as of before a report. It returns
-// false if none is known, because the pool has not reported before, its owner may not have
-// known the cap, or a task beyond the lease was permitted.
+// false if none is known, because the pool has not reported before or its owner may not have
+// known the cap. A task beyond the lease is left out: no other pool gets the permission while the
+// prior bound applies.
 func (l *Lender) priorBound(now time.Time, p *poolState, organisation job.Organisation) (job.Resources, bool) {
 	o := l.capped[organisation]
-	if o == nil || p.reportedAt.IsZero() || p.reportedAt.Sub(o.changedAt) < max(ConfigurationLag, leaseBound) || p.wholeTasks[organisation] != 0 {
+	if o == nil || p.reportedAt.IsZero() || p.reportedAt.Sub(o.changedAt) < max(ConfigurationLag, leaseBound) {
 		return job.Resources{}, false
 	}
 	return p.bound(organisation, o.limit), true
