--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -312,3 +312,22 @@
 	want(t, "floor of a removed pool", f.Share(now, "b").Floor(limit, now), job.Resources{})
 	want(t, "part of a removed pool that the lender counts", f.Largest(now, "b"), 0.25)
 }
+
+// TestArrivalsElsewhere guards against arrivals of a pool that are counted twice, or that are
+// reported long after its last report.
+func TestArrivalsElsewhere(t *testing.T) {
+	x := newExchange(t)
+	x.owners["a"].load, x.owners["b"].load = Load{Arriving: 3}, Load{Arriving: 2}
+	x.run(time.Second)
+	elsewhere := func() map[job.PoolName]float64 {
+		out := map[job.PoolName]float64{}
+		for name, o := range x.owners {
+			out[name] = o.holder.Leases()[testOrganisation].Elsewhere
+		}
+		return out
+	}
+	want(t, "arrivals at the other pool", elsewhere(), map[job.PoolName]float64{"a": 2, "b": 3})
+	x.owners["b"].silent = true
+	x.run(2 * maxReportAge)
+	want(t, "arrivals at a pool that is silent", elsewhere()["a"], 0.0)
+}
