Do not take time-outs of a slow store for failures of a part

Cause: transactions that a slow store answers too late counted as failures of their part, which then refused new jobs for up to a second although the store took most of them.

Change: only failures within 0.5 s count.

Measured: TestSlowPartIsNotRefused fails without the change.

--- a/manager/part_health.go
+++ b/manager/part_health.go
@@ -9,6 +9,9 @@
 	// partOutageThreshold is the time without a successful transaction after which a part that
 	// fails counts as unavailable.
 	partOutageThreshold = 400 * time.Millisecond
+	// maxPartFailureTime is the time after which a failed transaction is a time-out. A store that
+	// is slow causes these, too, and still stores most jobs.
+	maxPartFailureTime = 500 * time.Millisecond
 	// partRetryInterval is how long a part counts as unavailable after its last failed
 	// transaction. After that, the next write finds out.
 	partRetryInterval = 1 * time.Second
--- a/manager/part_health_test.go
+++ b/manager/part_health_test.go
@@ -13,15 +13,18 @@
 	"bronzestair/core/table"
 )
 
-// partialStore loses the answers to transactions on one part while the others work.
+// partialStore loses the answers to transactions on one part, after a delay, while the others
+// work.
 type partialStore struct {
 	*memoryStore
-	part string
-	lost bool
+	part  string
+	lost  bool
+	delay time.Duration
 }
 
 func (s *partialStore) Commit(ctx context.Context, tx *table.Tx) (table.Version, error) {
 	if s.lost && tx.Part == s.part {
+		time.Sleep(s.delay)
 		return 0, errAnswerLost
 	}
 	return s.memoryStore.Commit(ctx, tx)
@@ -71,6 +74,27 @@
 	})
 }
 
+// TestSlowPartIsNotRefused guards against jobs that are refused while the store is only slow:
+// transactions that time out, as those of a slow store do, counted as failures of their part.
+func TestSlowPartIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		record, value := testRecord()
+		store := &partialStore{memoryStore: newMemoryStore(), part: jobPart(record.Queue, record.ID), lost: true, delay: 1400 * time.Millisecond}
+		w := newWriter(store, &eventRecorder{}, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go w.run(ctx)
+		go func() { _, _ = w.storeNewJob(ctx, record, value) }()
+		time.Sleep(3500 * time.Millisecond) // two transactions have timed out
+		store.lost = false
+		other := *record
+		other.ID = jobsOfPart(record.Queue, store.part, 1)[0]
+		result, err := w.storeNewJob(ctx, &other, value)
+		want(t, "result", result, Stored)
+		want(t, "error", err, error(nil))
+	})
+}
+
 // TestPartIsTriedAgain guards against a part that stays refused because no write shows that
 // it has returned.
 func TestPartIsTriedAgain(t *testing.T) {
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -309,10 +309,11 @@
 		for _, pending := range batch {
 			pending.addTo(&tx)
 		}
+		sent := time.Now()
 		version, err := w.store.Commit(ctx, &tx)
 		var conflict *table.Conflict
 		var failed *table.Failure
-		w.parts.record(time.Now(), tx.Part, errors.As(err, &failed))
+		w.parts.record(time.Now(), tx.Part, errors.As(err, &failed) && time.Since(sent) < maxPartFailureTime)
 		switch {
 		case err == nil:
 			for _, pending := range batch {
