--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -263,21 +263,6 @@
 	return err
 }
 
-// Submit sends a new job to the owner of its pool, which stores it. value is the JSON
-// encoding of the job's record. ErrNotOwner means that the job is not stored, because the
-// called entry does not own the pool or has not sent the write to the store. After any other
-// error the result is 0, but the job may be stored.
-func (p *Peers) Submit(ctx context.Context, address string, name job.PoolName, value []byte) (submitted SubmitReply, err error) {
-	err = p.call(address, func(c ownerpb.OwnerClient) error {
-		reply, err := c.Submit(ctx, &ownerpb.SubmitRequest{Pool: string(name), Record: value})
-		submitted = SubmitReply{
-			Result: uint8(reply.GetResult()), RetryAfter: time.Duration(reply.GetRetryAfterMilliseconds()) * time.Millisecond,
-		}
-		return err
-	})
-	return submitted, err
-}
-
 // State returns the state of a job to a caller of an organisation, from the owner of the job's
 // pool. It returns ErrForbidden if the job belongs to another organisation.
 func (p *Peers) State(ctx context.Context, address string, name job.PoolName, caller job.Organisation, id job.ID) (state job.State, err error) {
--- a/io/owner/submit.go
+++ b/io/owner/submit.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"bronzestair/core/job"
+	"bronzestair/io/owner/ownerpb"
+	"context"
 	"errors"
 	"time"
 )
@@ -18,3 +21,18 @@
 	// result 3.
 	RetryAfter time.Duration
 }
+
+// Submit sends a new job to the owner of its pool, which stores it. value is the JSON
+// encoding of the job's record. ErrNotOwner means that the job is not stored, because the
+// called entry does not own the pool or has not sent the write to the store. After any other
+// error the result is 0, but the job may be stored.
+func (p *Peers) Submit(ctx context.Context, address string, name job.PoolName, value []byte) (submitted SubmitReply, err error) {
+	err = p.call(address, func(c ownerpb.OwnerClient) error {
+		reply, err := c.Submit(ctx, &ownerpb.SubmitRequest{Pool: string(name), Record: value})
+		submitted = SubmitReply{
+			Result: uint8(reply.GetResult()), RetryAfter: time.Duration(reply.GetRetryAfterMilliseconds()) * time.Millisecond,
+		}
+		return err
+	})
+	return submitted, err
+}
