Give the owner of a pool more time to store a job while the store is slow

Cause: an entry waited 1.5 s for the owner of a pool, which waited for a slow store, and then wrote the job itself.

--- a/manager/jobs.go
+++ b/manager/jobs.go
@@ -35,8 +35,10 @@
 	// the same time.
 	maxCancelAttempts = 4
 	// ownerSubmitTimeout bounds a submission to the pool's owner. It leaves time to
-	// store the job directly within the usual caller deadline of 3 s.
-	ownerSubmitTimeout = 1500 * time.Millisecond
+	// store the job directly within the usual caller deadline of 3 s. After 1.5 s, entries
+	// wrote the jobs of an owner that only waited for a slow store a second time, which made the store
+	// slower.
+	ownerSubmitTimeout = 2300 * time.Millisecond
 	// peerCallTimeout bounds the other calls to peers.
 	peerCallTimeout = 300 * time.Millisecond
 )
