Let each request arrive before the next connection in a test of the gate

It expects that the first stalled request is closed, but waited for a sum of bytes that a part of the requests reaches: a connection whose request had not arrived yet had made the least progress, and was closed instead.

Ruled out: a fault of the gate, which closes what has made the least progress, as it should.

Change: the test opens the next connection when the request of the previous one has arrived. What it checks is unchanged.

--- a/io/intake/gate_test.go
+++ b/io/intake/gate_test.go
@@ -168,19 +168,24 @@
 func TestPressureSparesCompleteRequests(t *testing.T) {
 	release := make(chan struct{})
 	s := serve(t, intake.Budget{Bytes: 100 * intake.MiB, Connections: 8}, generous, release)
-	var waiting []*bufio.Reader
+	// Each request arrives before the next connection is opened: one of which nothing has
+	// arrived since is closed before those that have made progress later.
+	arrive := func(request string) *bufio.Reader {
+		before := s.gate.Used()
+		_, r := s.dial(t, request)
+		waitFor(t, func() bool {
+			used := s.gate.Used()
+			return used.Connections == before.Connections+1 && used.Bytes > before.Bytes+intake.ConnectionCost
+		})
+		return r
+	}
+	var waiting, stalled []*bufio.Reader
 	for range 3 {
-		_, r := s.dial(t, fmt.Sprintf(post, "wait", 1, "", "x"))
-		waiting = append(waiting, r)
+		waiting = append(waiting, arrive(fmt.Sprintf(post, "wait", 1, "", "x")))
 	}
-	var stalled []*bufio.Reader
 	for range 5 {
-		_, r := s.dial(t, fmt.Sprintf(post, "stalled", 1000, "", "x"))
-		stalled = append(stalled, r)
+		stalled = append(stalled, arrive(fmt.Sprintf(post, "stalled", 1000, "", "x")))
 	}
-	waitFor(t, func() bool {
-		return s.gate.Used().Connections == 8 && s.gate.Used().Bytes > 8*intake.ConnectionCost+500
-	})
 	for range 20 {
 		c, r := s.dial(t, fmt.Sprintf(post, "small", 1, "Connection: close\r\n", "x"))
 		if got := next(r); got != "200 /small 1" {
