Extrapolate arrivals after disruptions as before without look-ahead

Cause: since owners did not extrapolate arrivals after a takeover or an outage, also where the configuration has no organisations. Deployments without them are to be served as before.

Change: the rule applies while the pool looks ahead.

--- a/core/pool/arrivals.go
+++ b/core/pool/arrivals.go
@@ -29,6 +29,9 @@
 	// observedSince is when the owner took over or the store last returned after an outage.
 	// Before, not all arrivals were seen, and the callers that return then look like a load peak.
 	observedSince time.Time
+	// wholeWindow is true if rates are extrapolated only once a whole window has been observed. It
+	// is set while the pool looks ahead.
+	wholeWindow bool
 }
 
 // queueArrivals tracks the jobs that arrive through one queue.
@@ -82,7 +85,7 @@
 // time at which instances requested now accept tasks.
 func (a *arrivals) rate(now time.Time) job.MilliCPU {
 	var sum job.MilliCPU // an integer, so that the order of the queues does not affect the sum
-	extrapolated := now.Sub(a.observedSince) >= arrivalWindow
+	extrapolated := !a.wholeWindow || now.Sub(a.observedSince) >= arrivalWindow
 	for _, q := range a.queues {
 		sum += job.MilliCPU(q.meanWork * q.rate(now, extrapolated))
 	}
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -158,6 +158,7 @@
 // apply implements Event.
 func (e *QueuesChanged) apply(p *Pool, _ time.Time) {
 	p.queues, p.organisations = e.Queues, e.Organisations
+	p.arrivals.wholeWindow = p.looksAhead()
 	p.configureCaps(e.Floor)
 	p.assignShares()
 	p.dispatchNeeded = true
