--- a/review/standin3/jobs.go
+++ b/review/standin3/jobs.go
@@ -16,15 +16,16 @@
 
 // stepBody is a step in the body of a submission.
 type stepBody struct {
-	Count      int   `json:"count"`
-	CPU        int   `json:"cpu"`
-	MemMB      int   `json:"mem_mb"`
-	EstRuntime int64 `json:"est_runtime_ms"`
-	After      []int `json:"after,omitempty"`
-	Gang       bool  `json:"gang,omitempty"`
-	Persistent bool  `json:"persistent,omitempty"`
-	MayMiss    int   `json:"may_miss,omitempty"`
-	PerRunner  int   `json:"max_per_server,omitempty"`
+	Count      int    `json:"count"`
+	CPU        int    `json:"cpu"`
+	MemMB      int    `json:"mem_mb"`
+	EstRuntime int64  `json:"est_runtime_ms"`
+	After      []int  `json:"after,omitempty"`
+	Gang       bool   `json:"gang,omitempty"`
+	Persistent bool   `json:"persistent,omitempty"`
+	MayMiss    int    `json:"may_miss,omitempty"`
+	PerRunner  int    `json:"max_per_server,omitempty"`
+	Needs      string `json:"needs,omitempty"`
 }
 
 func (s *stepBody) takes() time.Duration { return time.Duration(s.EstRuntime) * time.Millisecond }
@@ -149,7 +150,11 @@
 	rec.mu.Lock()
 	rec.jobs[j.id] = j
 	rec.mu.Unlock()
-	body, _ := json.Marshal(map[string]any{"spec": "work", "steps": j.steps})
+	submission := map[string]any{"spec": "work", "steps": j.steps}
+	if j.repeat > 0 {
+		submission["repeat_count"], submission["start_at_ms"], submission["interval_ms"] = j.repeat, time.Now().UnixMilli(), j.interval.Milliseconds()
+	}
+	body, _ := json.Marshal(submission)
 	for range 4 {
 		status, answer := c.call(http.MethodPost, j, body)
 		rec.notef("job %s in %s: %d %s", j.id, j.queue.name, status, answer)
--- a/review/standin3/life.go
+++ b/review/standin3/life.go
@@ -21,6 +21,8 @@
 	nextEnd   int64
 	lastRun   map[string]int
 	changed   chan struct{}
+	// contacted is true once the life has carried out an order that was not late.
+	contacted bool
 }
 
 func (l *runnerLife) name() string { return fmt.Sprintf("%s/%d", l.runner.id, l.number) }
@@ -80,7 +82,7 @@
 		return refuse("room")
 	}
 	begun := &run{task: o.Task, step: step, startRecord: &startRecord{
-		runner: l, entry: o.entry, run: o.Run, fence: o.Fence, late: o.late, at: time.Now(),
+		kind: l.runner.kind, runner: l, entry: o.entry, run: o.Run, fence: o.Fence, late: o.late, at: time.Now(),
 	}}
 	l.running[o.Task] = begun
 	l.runner.fleet.record.started(o.Task, begun.startRecord)
@@ -102,6 +104,9 @@
 func (l *runnerLife) poll(request *http.Request, o order) (int, map[string]any) {
 	for _, e := range l.ended {
 		if e.number <= o.AckCursor {
+			if o.late {
+				l.runner.fleet.record.notef("runner %s forgets end %d of %s for a late acknowledgment of %d; contacted %t", l.name(), e.number, e.run.task, o.AckCursor, l.contacted)
+			}
 			l.runner.fleet.record.acknowledge(e.run.task, e.run.startRecord)
 		}
 	}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -33,6 +33,10 @@
 	play func(f *fleet, trouble bool)
 }{
 	"held-order": {"ONE", playHeldOrder},
+	"repeated":   {"TWICE", playRepeated},
+	"hopeless":   {"LOST", playHopeless},
+	"kind":       {"ROUTE", playKind},
+	"late-ack":   {"TWICE", playLateAck},
 }
 
 // fail ends all processes and exits, as the case cannot run.
--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -10,6 +10,8 @@
 
 // startRecord is a run of a task as its runner has seen it.
 type startRecord struct {
+	// kind is the kind of the runner's life.
+	kind      string
 	runner    *runnerLife
 	entry     string
 	run       int
@@ -46,6 +48,8 @@
 	orders     int
 	// lastHolder sent the last order for a machine.
 	lastHolder string
+	// onStart, if set, is called with each start. The lock is held.
+	onStart func(task string, s *startRecord)
 }
 
 func newRecord(path string) (*record, error) {
@@ -88,6 +92,9 @@
 		}
 	}
 	r.starts[task] = append(r.starts[task], s)
+	if r.onStart != nil {
+		r.onStart(task, s)
+	}
 	if j := r.jobs[jobOf(task)]; j == nil {
 		r.violate("UNASKED %s: %v", task, s)
 	} else {
@@ -149,7 +156,11 @@
 	queue             *queue
 	accepted, started bool
 	steps             []stepBody
-	work              work
+	// repeat is how often the job runs, 0 for once, interval the time between two times.
+	repeat   int
+	hopeless bool
+	interval time.Duration
+	work     work
 }
 
 func jobOf(task string) string {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -14,6 +14,8 @@
 	storeDelay   = 4 * time.Millisecond
 	txDuration   = 5 * time.Millisecond
 	maxStoreRows = 500
+	// rowBytes is the size of the largest value, row_bytes in the settings.
+	rowBytes = 65536
 )
 
 type rowKey struct{ table, part, key string }
@@ -142,6 +144,12 @@
 		answerJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
 		return
 	}
+	for _, row := range tx.Puts {
+		if len(row.Value) > rowBytes {
+			answerJSON(w, http.StatusBadRequest, map[string]string{"error": "a value is too large"})
+			return
+		}
+	}
 	part := s.lockPart(tx.part())
 	part.Lock()
 	defer part.Unlock()
