--- a/core/pool/dispatch.go
+++ b/core/pool/dispatch.go
@@ -9,18 +9,6 @@
 	"bronzestair/core/job"
 )
 
-// startDueOccurrences starts the occurrences of repeated jobs that have become due.
-func (p *Pool) startDueOccurrences(now time.Time) {
-	for _, j := range p.jobOrder {
-		if j.record.Spec.Repeat.Count == 0 || j.outcome != "" || !p.addDueOccurrences(now, j) {
-			continue
-		}
-		for _, o := range j.occurrences {
-			p.unblockSteps(now, j, o)
-		}
-	}
-}
-
 // dispatch places as many ready tasks as fit, in the order of their jobs' ranks.
 func (p *Pool) dispatch(now time.Time) {
 	p.reviewReservations(now)
