Conclude which occurrences a previous owner has completed

Cause: an owner has at most 10,000 tasks of a job's occurrences in memory. If the progress that completes the earlier occurrence is not stored before the kill, the next owner has no room for the later one, of which runners list runs and ends. handleEnd took every end without a task in memory for one of a completed occurrence.

Change: the owner that began occurrence n had completed all that it could not have in memory beside n. The next one concludes that from any run or end listed of n and drops them, so there is always room for n, and never more than the limit in memory. This also counts failed ends and adopts runs, which were forgotten and stopped before.

--- a/core/pool/occurrence.go
+++ b/core/pool/occurrence.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -62,13 +63,18 @@
 	return false
 }
 
+// maxOccurrences returns how many occurrences of a job are in memory at most. A new owner concludes
+// from it which ones the previous owner has completed, see addBegunOccurrences, so all versions of
+// the program that may own a pool in turn have to agree on it.
+func maxOccurrences(spec *job.Spec) int { return max(1, job.MaxTasks/max(1, spec.Tasks())) }
+
 // addDueOccurrences adds the occurrences that are due and reports whether there are any.
 // Occurrences that would exceed job.MaxTasks tasks in memory wait until others are done, those
 // that would exceed maxStepsAhead until others have started.
 func (p *Pool) addDueOccurrences(now time.Time, j *jobState) bool {
 	added := false
 	spec := &j.record.Spec
-	limit := max(1, job.MaxTasks/max(1, spec.Tasks()))
+	limit := maxOccurrences(spec)
 	ahead := 0
 	for n := j.finishedOccurrences + len(j.occurrences); n < spec.Occurrences() && len(j.occurrences) < limit; n++ {
 		due := spec.Due(n)
@@ -100,13 +106,16 @@
 	return n
 }
 
-// addBegunOccurrences adds the occurrences up to the one of which a runner lists a run, although
-// they are not due by this owner's clock.
+// addBegunOccurrences adds the occurrences up to the one of which a runner lists a run or an end,
+// although they are not due by this owner's clock. The owner that began it had at most
+// maxOccurrences in memory, so it had completed those before. That may not be stored, and the
+// runners that could list their ends may be gone.
 func (p *Pool) addBegunOccurrences(now time.Time, j *jobState, number int) {
-	if number < j.begunOccurrences || number >= j.record.Spec.Occurrences() {
+	if number < j.begunOccurrences || number >= j.record.Spec.Occurrences() || j.outcome != "" {
 		return
 	}
 	j.begunOccurrences = number + 1
+	p.completeOccurrences(now, j, j.begunOccurrences-maxOccurrences(&j.record.Spec))
 	if !p.addDueOccurrences(now, j) {
 		return
 	}
@@ -115,6 +124,40 @@
 	}
 }
 
+// completeOccurrences takes all occurrences before a number as completed and stops their runs.
+func (p *Pool) completeOccurrences(now time.Time, j *jobState, before int) {
+	if before <= j.firstOccurrence() {
+		return
+	}
+	p.emit(&LogDecision{
+		Job: j.id(), Decision: "occurrencesCompleted", DataAge: now.Sub(j.record.Accepted),
+		Reason: fmt.Sprintf("a previous owner has begun occurrence %d, so it had completed %d to %d", j.begunOccurrences-1, j.firstOccurrence(), before-1),
+	})
+	for len(j.occurrences) > 0 && j.occurrences[0].number < before {
+		p.stopOccurrence(j.occurrences[0])
+		p.dropFirstOccurrence(j)
+	}
+	j.finishedOccurrences = before
+	j.markDirty(now)
+}
+
+// stopOccurrence takes the tasks of an occurrence that is to be dropped off their runners, which
+// get no other tasks until they no longer list the runs.
+func (p *Pool) stopOccurrence(o *occurrence) {
+	for _, step := range o.steps {
+		step.job.ready -= step.ready
+		step.ready = 0
+		for t := range step.allocated() {
+			if r := t.runner; r != nil {
+				r.release(t)
+				r.unknownRuns[t.id] = t.run
+				p.emit(&StopTask{Runner: r.Runner, Task: t.id, Run: t.run, Fence: p.options.Fence})
+			}
+			t.state = done
+		}
+	}
+}
+
 func (j *jobState) occurrence(number int) *occurrence {
 	i := number - j.firstOccurrence()
 	if i < 0 || i >= len(j.occurrences) {
@@ -134,9 +177,7 @@
 // finishIfDone drops completed occurrences and ends the job after the last one.
 func (p *Pool) finishIfDone(now time.Time, j *jobState) {
 	for len(j.occurrences) > 0 && j.occurrences[0].complete() && !j.occurrences[0].running() {
-		p.forgetOccurrence(j.occurrences[0])
-		j.occurrences[0] = nil // the array outlives the slice
-		j.occurrences = j.occurrences[1:]
+		p.dropFirstOccurrence(j)
 		j.finishedOccurrences++
 		if j.record.Spec.Repeat.Count > 0 {
 			j.markDirty(now)
@@ -147,6 +188,13 @@
 	}
 }
 
+// dropFirstOccurrence drops the first occurrence in memory.
+func (p *Pool) dropFirstOccurrence(j *jobState) {
+	p.forgetOccurrence(j.occurrences[0])
+	j.occurrences[0] = nil // the array outlives the slice
+	j.occurrences = j.occurrences[1:]
+}
+
 // forgetOccurrence takes back what is kept for an occurrence beside itself.
 func (p *Pool) forgetOccurrence(o *occurrence) {
 	for _, step := range o.steps {
--- a/core/pool/occurrence_test.go
+++ b/core/pool/occurrence_test.go
@@ -94,3 +94,132 @@
 	want(t, "state of a task that is done", j.task(job.TaskID{Job: jobID(1), Occurrence: begun}).state, done)
 	want(t, "state of a task that a runner lists", j.task(listed[0].Task).state, running)
 }
+
+// wideJob returns a repeated job whose occurrences have so many tasks that the given number of
+// them is in memory at a time.
+func wideJob(inMemory, occurrences int) job.Spec {
+	return job.Spec{
+		Steps: []job.Step{{
+			Count: job.MaxTasks/(inMemory+1) + 1, Resources: job.Resources{CPU: 100, Memory: 16}, EstimatedRuntime: 50 * time.Millisecond,
+		}},
+		Repeat: job.Repeat{Count: occurrences, Start: simulationStart, Interval: time.Second},
+	}
+}
+
+// TestOccurrenceBehindUnstoredOnesIsNotRunAgain guards against a new owner without room for an
+// occurrence that the previous one has begun (TWICE): it acknowledged the ends of its tasks without
+// recording them.
+func TestOccurrenceBehindUnstoredOnesIsNotRunAgain(t *testing.T) {
+	cases := map[string]struct {
+		inMemory int
+		// begun is the occurrence whose first start precedes the takeover.
+		begun int
+		// dies is true if a runner terminates with the owner.
+		dies bool
+	}{
+		"one in memory":            {inMemory: 1, begun: 1},
+		"one in memory, long away": {inMemory: 1, begun: 3},
+		"two in memory":            {inMemory: 2, begun: 3},
+		"three in memory":          {inMemory: 3, begun: 4},
+		"a runner dies as well":    {inMemory: 1, begun: 1, dies: true},
+		"a runner dies, two kept":  {inMemory: 2, begun: 4, dies: true},
+	}
+	for title, c := range cases {
+		t.Run(title, func(t *testing.T) {
+			sim := newSimulation(t, 1, 8, faults{})
+			sim.runnerCPU = 16000
+			spec := wideJob(c.inMemory, 6)
+			sim.submit(1, spec)
+			// The progress that completes the occurrences before is not stored.
+			first := c.begun - c.inMemory
+			begun := func(occurrence int) func() bool {
+				return func() bool { return sim.starts > occurrence*spec.Steps[0].Count }
+			}
+			sim.runUntil(begun(max(0, first)), time.Minute)
+			sim.storeDownUntil = sim.now.Add(time.Hour)
+			sim.runUntil(begun(c.begun), time.Minute)
+			sim.run(150 * time.Millisecond)
+			sim.storeDownUntil = sim.now
+			if c.dies {
+				sim.kill(sim.runners[3])
+			}
+			sim.takeOver()
+			sim.requireFinished(2 * time.Minute)
+		})
+	}
+}
+
+// TestRunsOfAnOccurrenceBehindUnstoredOnes guards against a new owner that takes what its runners
+// list of an occurrence for which it has no room as known: it forgot failed attempts and stopped
+// runs that were right.
+func TestRunsOfAnOccurrenceBehindUnstoredOnes(t *testing.T) {
+	second := job.TaskID{Job: jobID(1), Occurrence: 1}
+	cases := map[string]struct {
+		running []RunningTask
+		ended   []EndedTask
+		check   func(t *testing.T, h *harness, effects []Effect)
+	}{
+		"running": {
+			running: []RunningTask{{Task: second, Run: 1, Checkpoint: "half"}},
+			check: func(t *testing.T, h *harness, effects []Effect) {
+				want(t, "stops", len(effectsOf[*StopTask](effects)), 0)
+				want(t, "checkpoint", h.pool.jobs[jobID(1)].task(second).checkpoint, "half")
+			},
+		},
+		"failed": {
+			ended: []EndedTask{{Number: 1, Task: second, Run: 1, Result: RunFailed}, {Number: 2, Task: second, Run: 2, Result: RunFailed}},
+			check: func(t *testing.T, h *harness, _ []Effect) {
+				want(t, "failed runs", h.pool.jobs[jobID(1)].task(second).failed, job.FailedRuns{1, 2})
+			},
+		},
+		"done, after a task of the first": {
+			ended: []EndedTask{
+				{Number: 1, Task: job.TaskID{Job: jobID(1), Index: 7}, Run: 1, Result: RunDone},
+				{Number: 2, Task: second, Run: 1, Result: RunDone},
+			},
+			check: func(t *testing.T, h *harness, effects []Effect) {
+				want(t, "state", h.pool.jobs[jobID(1)].task(second).state, done)
+				saves := effectsOf[*SaveProgress](append(effects, h.advance(saveInterval)...))
+				var first job.Bitmap
+				first.Set(0)
+				want(t, "progress", saves[0].Progress, &job.Progress{
+					Done: map[string][]byte{"1.0": first}, Failed: map[string]job.FailedRuns{}, FinishedOccurrences: 1,
+				})
+			},
+		},
+	}
+	for title, c := range cases {
+		t.Run(title, func(t *testing.T) {
+			h := newHarness(t, Options{Epoch: 2})
+			h.runners("r1")
+			h.incarnations("r1")
+			h.send(&JobStored{
+				Version: 11, Inherited: true, Progress: &job.Progress{}, ProgressVersion: 12,
+				Record: &job.Record{Pool: testPool, Queue: testQueue, ID: jobID(1), Accepted: h.now, Spec: wideJob(1, 3)},
+			})
+			c.check(t, h, h.answerPoll("r1", c.running, c.ended))
+		})
+	}
+}
+
+// TestRunsOfACompletedOccurrenceAreStopped covers a second run of a task, which its runner lists
+// before another one shows that the previous owner had completed the task's occurrence.
+func TestRunsOfACompletedOccurrenceAreStopped(t *testing.T) {
+	h := newHarness(t, Options{Epoch: 2})
+	h.runners("r1", "r2")
+	h.incarnations("r1", "r2")
+	h.send(&JobStored{
+		Version: 11, Inherited: true, Progress: &job.Progress{}, ProgressVersion: 12,
+		Record: &job.Record{Pool: testPool, Queue: testQueue, ID: jobID(1), Accepted: h.now, Spec: wideJob(1, 3)},
+	})
+	duplicate := RunningTask{Task: taskID(1, 0, 4), Run: 3}
+	h.answerPoll("r1", []RunningTask{duplicate}, nil)
+	effects := h.answerPoll("r2", []RunningTask{{Task: job.TaskID{Job: jobID(1), Occurrence: 1}, Run: 1}}, nil)
+	stops := effectsOf[*StopTask](effects)
+	if len(stops) != 1 || stops[0].Task != duplicate.Task || stops[0].Run != duplicate.Run {
+		t.Fatalf("stops = %v, want one of %v", stops, duplicate)
+	}
+	want(t, "refusal while it runs", h.pool.runners["r1"].refusal(h.now), ObstacleStopping)
+	h.answerPoll("r1", nil, []EndedTask{{Number: 1, Task: duplicate.Task, Run: duplicate.Run, Result: RunStopped}})
+	want(t, "refusal once it has ended", h.pool.runners["r1"].refusal(h.now), Obstacle(""))
+}
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -147,9 +147,13 @@
 			continue
 		}
 		r.handledEnd = end.Number
-		p.detectDuplicate(now, r, end)
 		pending := pendingEnd{number: end.Number}
-		if j := p.jobs[end.Task.Job]; j != nil {
+		j := p.jobs[end.Task.Job]
+		if j != nil {
+			p.addBegunOccurrences(now, j, end.Task.Occurrence)
+		}
+		p.detectDuplicate(now, r, end)
+		if j != nil {
 			pending.job = j
 			pending.seq = p.handleEnd(now, r, j, end)
 		} else if p.loading || p.loadParked(now, end.Task.Job) {
@@ -169,9 +173,11 @@
 // handleEnd applies an end and returns the sequence number of the change that must
 // be stored before the end is acknowledged, 0 for none.
 func (p *Pool) handleEnd(now time.Time, r *runnerState, j *jobState, end EndedTask) uint64 {
-	p.addBegunOccurrences(now, j, end.Task.Occurrence)
 	t := j.task(end.Task)
 	if t == nil {
+		if j.outcome == "" && end.Task.Occurrence >= j.firstOccurrence() {
+			p.emit(&LogDecision{Job: j.id(), Task: end.Task, Runner: r.ID, Run: end.Run, Decision: "endOfUnknownTask", Reason: "the job has no such task"})
+		}
 		return j.seq // the occurrence is done, but that may not be stored yet
 	}
 	if j.closed {
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -162,6 +162,16 @@
 	}
 }
 
+// runUntil advances the virtual time until the condition holds, at most by limit.
+func (sim *simulation) runUntil(condition func() bool, limit time.Duration) {
+	sim.t.Helper()
+	for end := sim.now.Add(limit); !condition(); sim.run(10 * time.Millisecond) {
+		if !sim.now.Before(end) {
+			sim.t.Fatalf("the condition does not hold after %v", limit)
+		}
+	}
+}
+
 func (sim *simulation) tick() {
 	sim.send(sim.pool, Ticked{})
 	if sim.previousPool != nil {
