Store progress that exceeds a row in a compact form

Cause: a progress row named each step with done tasks and each task with failed runs. The job completes no occurrence, so its row grew beyond 65,536 bytes, and the store refused it for ever. Ends are acknowledged in order, so all later ends on each runner stayed behind those of the job, until the lists were cut at 500. That one job can hold up the others is a fault of its own and is not changed here.

Evidence: the writer now logs the largest write that is not saved. With the case, before the change: 66,135 bytes with the first refusal, 118,306 with the last, always this job, status 400. Ruled out by it: a failing part of the store, conflicts.

Change: a compact form, one bitmap over the tasks in memory for what is done and one for each number of a failed run, compressed. It is written only if the plain form exceeds a row and all members state that they read it; without that the job is not stored, as before. An effect that cannot be encoded no longer leaves its job waiting for an answer.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/bits"
@@ -72,11 +73,18 @@
 	FinishedOccurrences int `json:"finished,omitempty"`
 }
 
-// Encode returns the JSON encoding for the value of a progress row.
+// Encode returns the plain form of the value of a progress row, which is JSON.
 func (p *Progress) Encode() ([]byte, error) { return json.Marshal(p) }
 
-// DecodeProgress decodes the value of a progress row.
+// DecodeProgress decodes the value of a progress row, in the plain or the compact form.
 func DecodeProgress(value []byte) (*Progress, error) {
+	if bytes.HasPrefix(value, gzipMagic) {
+		p, err := decodeCompact(value)
+		if err != nil {
+			return nil, fmt.Errorf("progress row: %w", err)
+		}
+		return p, nil
+	}
 	var p Progress
 	if err := json.Unmarshal(value, &p); err != nil {
 		return nil, fmt.Errorf("progress row: %w", err)
--- a/core/membership/membership.go
+++ b/core/membership/membership.go
@@ -19,6 +19,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bronzestair/core/job"
 	"bronzestair/core/process"
 )
 
@@ -37,6 +38,9 @@
 	DataCentre string `json:"dataCentre"`
 	// Capacity is the entry's share of its machine's resources.
 	process.Capacity
+	// RowFormat is the newest format of stored rows that the entry reads. It is 0 in rows of versions
+	// that did not state it.
+	RowFormat job.RowFormat `json:"rowFormat,omitempty"`
 	// Refreshes counts the writes of the row, so that each one changes it.
 	Refreshes uint64 `json:"refreshes"`
 }
@@ -73,6 +77,20 @@
 	}
 }
 
+// CommonRowFormat returns the newest format of stored rows that this entry and all members read, 0
+// until the tracker has taken this entry's own row and with it those of the others.
+func (t *Tracker) CommonRowFormat() job.RowFormat {
+	own, ok := t.members[t.name]
+	if !ok {
+		return 0
+	}
+	common := own.RowFormat
+	for _, m := range t.members {
+		common = min(common, m.RowFormat)
+	}
+	return common
+}
+
 // Known returns the other members as of the last call of Observe, however long ago that was.
 func (t *Tracker) Known() []Member {
 	var out []Member
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"bronzestair/core/job"
 )
 
 func member(n int) Member {
@@ -74,3 +76,33 @@
 		}
 	}
 }
+
+// TestCommonRowFormat covers a change of version: rows in a new format are written only once no
+// member is left that cannot read them.
+func TestCommonRowFormat(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	stated := func(n int, format job.RowFormat) Member {
+		m := member(n)
+		m.RowFormat = format
+		return m
+	}
+	tracker := New("entry-0", "zone-0")
+	check := func(label string, format job.RowFormat) {
+		t.Helper()
+		if diff := cmp.Diff(format, tracker.CommonRowFormat()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", label, diff)
+		}
+	}
+	check("nothing read", 0)
+	tracker.Observe(now, []Member{stated(1, 2)})
+	check("own row not read", 0)
+	tracker.Observe(now, []Member{stated(0, 1), member(2)})
+	check("with a member of an earlier version", 0)
+	tracker.Observe(now, []Member{stated(2, 1)})
+	check("after its upgrade", 1)
+	tracker.Observe(now, []Member{member(3)})
+	check("with another one", 0)
+	alive := now.Add(Lifetime + 1)
+	tracker.Observe(alive, []Member{{Name: "entry-0", RowFormat: 1, Refreshes: 1}, {Name: "entry-1", RowFormat: 2, Refreshes: 1}})
+	check("once it has not refreshed its row", 1)
+}
--- a/core/pool/effect.go
+++ b/core/pool/effect.go
@@ -70,7 +70,9 @@
 	Version         RowVersion
 	ProgressVersion RowVersion
 	Progress        *job.Progress
-	Seq             uint64
+	// Spec is that of the job, which must not be changed.
+	Spec *job.Spec
+	Seq  uint64
 }
 
 // FinishJob replaces a stored job by its outcome. It has the same answers as
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -30,7 +30,7 @@
 		}
 		p.emit(&SaveProgress{
 			Queue: j.record.Queue, ID: j.id(), Version: j.version, ProgressVersion: j.progressVersion,
-			Progress: j.progress(), Seq: j.seq,
+			Progress: j.progress(), Spec: &j.record.Spec, Seq: j.seq,
 		})
 	}
 }
--- a/manager/members.go
+++ b/manager/members.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bronzestair/core/job"
 	"bronzestair/core/membership"
 	"bronzestair/core/table"
 )
@@ -24,7 +25,10 @@
 // maintainMembership writes this entry's row and reads those of the others until the
 // context ends.
 func (m *Manager) maintainMembership(ctx context.Context) {
-	self := membership.Member{Name: m.options.Name, Address: m.options.Address, DataCentre: m.options.DataCentre, Capacity: m.options.Capacity}
+	self := membership.Member{
+		Name: m.options.Name, Address: m.options.Address, DataCentre: m.options.DataCentre, Capacity: m.options.Capacity,
+		RowFormat: job.CompactRowFormat,
+	}
 	sleep(ctx, time.Duration(xxhash.Sum64String(self.Name)%uint64(firstWriteSpread)))
 	m.writeMember(ctx, self)
 	sleep(ctx, firstWriteSpread) // until the others have written theirs
@@ -99,6 +103,14 @@
 	return m.readPart(ctx, memberTable, "")
 }
 
+// readsCompactProgress reports whether all entries read the compact form of progress, as far as is
+// known.
+func (m *Manager) readsCompactProgress() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.CommonRowFormat() >= job.CompactRowFormat
+}
+
 // relayPeers returns the addresses of the peers that may relay calls to the store. Those
 // that hold no claim come first, as the owners of pools have the most work of their own.
 func (m *Manager) relayPeers() []string {
--- a/manager/pool_owner.go
+++ b/manager/pool_owner.go
@@ -101,6 +101,7 @@
 		done:      make(chan struct{}),
 	}
 	o.writer = newWriter(m.store, o, m.logger)
+	o.writer.maxValueBytes, o.writer.mayCompact = m.options.MaxValueBytes, m.readsCompactProgress
 	o.runners = newDelegatedRunners(m, tenure.Shard)
 	o.capacity = m.options.Capacity
 	o.jobs = m.backlog.Open()
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -129,19 +130,31 @@
 	uncertainJobs     uncertainJobs
 	uncertainProgress uncertainProgress
 	parts             partHealth
+	// maxValueBytes is the size of the largest value that the store takes. mayCompact reports whether
+	// all entries read the compact form of progress; if it is nil, they may not.
+	maxValueBytes int
+	mayCompact    func() bool
 	// stopped is closed when run has returned.
 	stopped chan struct{}
 }
 
 func newWriter(store jobStore, sink eventSink, logger *slog.Logger) *writer {
-	return &writer{store: store, sink: sink, logger: logger, incoming: make(chan *write, inboxSize), stopped: make(chan struct{})}
+	return &writer{
+		store: store, sink: sink, logger: logger, incoming: make(chan *write, inboxSize), stopped: make(chan struct{}),
+		maxValueBytes: table.DefaultMaxValueBytes,
+	}
 }
 
 // enqueue queues the write of a SaveProgress or FinishJob effect.
 func (w *writer) enqueue(ctx context.Context, effect pool.Effect) {
 	pending, err := newWrite(effect)
+	if err == nil && len(pending.value) > w.maxValueBytes {
+		err = w.compact(pending, effect)
+	}
 	if err != nil {
 		w.logger.Error("cannot encode job", "job", pending.id, "error", err)
+		// The sink may be waiting for the caller.
+		go w.sink.submit(&pool.JobSaved{ID: pending.id, Seq: pending.seq, Failed: true})
 		return
 	}
 	select {
@@ -223,24 +236,6 @@
 	}
 }
 
-func newWrite(effect pool.Effect) (w *write, err error) {
-	switch e := effect.(type) {
-	case *pool.SaveProgress:
-		w = &write{
-			id: e.ID, queue: e.Queue, seq: e.Seq,
-			version: table.Version(e.Version), progressVersion: table.Version(e.ProgressVersion),
-		}
-		w.value, err = e.Progress.Encode()
-	case *pool.FinishJob:
-		w = &write{
-			id: e.ID, queue: e.Queue, seq: e.Seq, finished: true,
-			version: table.Version(e.Version), progressVersion: table.Version(e.ProgressVersion),
-		}
-		w.value, err = e.Outcome.Encode()
-	}
-	return w, err
-}
-
 // run commits queued writes, with one transaction per part at a time. Writes that
 // arrive meanwhile are collected for the part's next transaction.
 func (w *writer) run(ctx context.Context) {
@@ -342,7 +337,8 @@
 			refused++
 			sleep(ctx, retryBackoff.NextBackOff())
 		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun || lost >= maxLostRetries:
-			w.logger.Warn("jobs are not saved", "queue", batch[0].queue, "count", len(batch), "error", err)
+			largest := slices.MaxFunc(batch, func(a, b *write) int { return cmp.Compare(len(a.value), len(b.value)) })
+			w.logger.Warn("jobs are not saved", "queue", batch[0].queue, "count", len(batch), "largest", largest.id, "bytes", len(largest.value), "error", err)
 			w.reportFailed(batch, err)
 			return
 		default:
