Keep one unsaved job from holding up the ends of all others

Cause: runners forget ends in order, so an end that waits to be stored keeps all later ones listed. A runner lists 500; its owner learns of no others, and their tasks and room stay taken. Nothing kept the lists from filling up. The writer also repeated a row that is too large three times, while the other writes of its part waited.

Change: a runner gets no batch task whose end it might not list, half a list makes the waiting changes urgent, and a job whose writes fail while others are stored is confined to the runners on which its ends wait already. Progress that is too large is not repeated by the writer. Ruled out as triggers that last: conflicts, which end the ownership, and removed rows, which are looked up.

--- a/core/pool/incarnation.go
+++ b/core/pool/incarnation.go
@@ -158,6 +158,7 @@
 	r.clock = ClockReading{}
 	r.pendingEnds = nil
 	r.handledEnd, r.storedEnd, r.ackedEnd, r.polledAck = 0, 0, 0, 0
+	r.listedEnds = 0
 	clear(r.unknownRuns)
 	r.health, r.backoffUntil = runnerHealth{}, time.Time{}
 	r.nextPoll, r.nextAcknowledgment = now, time.Time{}
--- a/core/pool/job.go
+++ b/core/pool/job.go
@@ -57,6 +57,10 @@
 	// saving is true while a write awaits its answer.
 	saving     bool
 	dirtySince time.Time
+	// unsavedSince is when the first write failed since the last one that was stored, zero if none
+	// has. confined is true if changes of other jobs were stored meanwhile, see unsaved.go.
+	unsavedSince time.Time
+	confined     bool
 	// urgent is true if the changes are to be stored without waiting for saveInterval.
 	urgent  bool
 	outcome job.State
--- a/core/pool/obstacle.go
+++ b/core/pool/obstacle.go
@@ -36,6 +36,12 @@
 	ObstacleLabel Obstacle = "label"
 	// ObstacleSpread means that as many tasks of the step are on the runner as may be.
 	ObstacleSpread Obstacle = "spread"
+	// ObstacleEnds means that the runner lists so many ends already that it might not list that of
+	// the task.
+	ObstacleEnds Obstacle = "ends"
+	// ObstacleUnsaved means that the changes of the job cannot be stored, and no end of it waits for
+	// that on the runner yet.
+	ObstacleUnsaved Obstacle = "unsaved"
 	// ObstacleTicket means that the step has no ticket for the runner.
 	ObstacleTicket Obstacle = "ticket"
 	// ObstaclePreference means that the task fits there, but another runner is better.
@@ -103,5 +109,14 @@
 	if spec.MaxPerInstance > 0 && p.siblingsOn(t, r) >= spec.MaxPerInstance {
 		return ObstacleSpread
 	}
+	if spec.Persistent {
+		return "" // its ends need not be stored
+	}
+	if !p.canListEnd(r) {
+		return ObstacleEnds
+	}
+	if t.job.confined && !r.awaitsSave(t.job) {
+		return ObstacleUnsaved
+	}
 	return ""
 }
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -118,12 +118,16 @@
 	}
 	r.fenced = true
 	r.answeredAddress = r.polledAddress
+	r.listedEnds = len(e.Ended)
 	lastEnd := r.handledEnd
 	handled := p.handleEnds(now, r, e.Ended)
 	if len(r.pendingEnds) > 0 && r.handledEnd == lastEnd {
 		r.nextAcknowledgment = r.nextPoll
 		r.nextPoll = now.Add(max(unsavedPollInterval, p.pollInterval()))
 	}
+	if 2*r.listedEnds >= p.options.MaxListedEnds {
+		r.requestSave()
+	}
 	r.resolved = handled && (r.resolved || !e.Truncated)
 	listed := p.handleRunning(now, r, e)
 	p.retryUnknownStops(r, listed)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -57,7 +57,9 @@
 	PollRate int
 	// MaxStartsInFlight limits the starts that await their answer.
 	MaxStartsInFlight int
-	Lookahead         Lookahead
+	// MaxListedEnds is how many ends a runner lists at most.
+	MaxListedEnds int
+	Lookahead     Lookahead
 }
 
 // Defaults of the options.
@@ -75,6 +77,8 @@
 	// up has in flight. An owner can read that many answers one after the other within
 	// the timeout of an order.
 	DefaultMaxStartsInFlight = 400
+	// DefaultMaxListedEnds is what runners are known to list.
+	DefaultMaxListedEnds = 500
 )
 
 func (o *Options) setDefaults() {
@@ -88,6 +92,9 @@
 	if o.MaxStartsInFlight <= 0 {
 		o.MaxStartsInFlight = DefaultMaxStartsInFlight
 	}
+	if o.MaxListedEnds <= 0 {
+		o.MaxListedEnds = DefaultMaxListedEnds
+	}
 	o.StartValidity = min(o.StartValidity, o.Lease)
 }
 
@@ -150,7 +157,9 @@
 	// dispatchNeeded is true if a task may have become placeable since the last
 	// dispatch.
 	dispatchNeeded bool
-	effects        []Effect
+	// lastSaved is when a change of a job was last stored.
+	lastSaved time.Time
+	effects   []Effect
 }
 
 // New returns the pool of an owner that has just taken it over.
--- a/core/pool/runner.go
+++ b/core/pool/runner.go
@@ -94,6 +94,8 @@
 	// that may be acknowledged, and ackedEnd that of the last one whose acknowledgment
 	// was answered.
 	handledEnd, storedEnd, ackedEnd int64
+	// listedEnds is the number of ends in the last answer to a poll.
+	listedEnds int
 
 	// polling is true while a poll awaits its answer, polledAck is the number that it
 	// acknowledges and polledAddress where it was sent. answeredAddress is where the runner
--- a/core/pool/save.go
+++ b/core/pool/save.go
@@ -44,8 +44,10 @@
 	j.saving = false
 	if e.Failed {
 		j.retryAt = now.Add(saveRetryDelay)
+		p.recordFailedSave(now, j)
 		return
 	}
+	p.recordSave(now, j)
 	j.savedSeq = max(j.savedSeq, e.Seq)
 	j.progressVersion = e.Version
 	j.dirtySince = now
--- a/core/pool/simulation_test.go
+++ b/core/pool/simulation_test.go
@@ -37,6 +37,10 @@
 	// maxListedEnds limits the ends in the answer to a poll; 0 means no limit.
 	maxListedEnds int
 	faults        faults
+	// refusesProgress reports whether the store refuses the progress of a job, if it is not nil.
+	refusesProgress func(job.ID) bool
+	// options are those of each owner. Its pool, fence and epoch are set by the simulation.
+	options Options
 	// runnerCPU is the CPU capacity of each runner.
 	runnerCPU job.MilliCPU
 
--- a/manager/large_jobs_test.go
+++ b/manager/large_jobs_test.go
@@ -168,6 +168,27 @@
 	}
 }
 
+// TestTooLargeProgressSparesThePart guards against new jobs that wait while progress that no row can
+// hold is sent again and again in the same part.
+func TestTooLargeProgressSparesThePart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWriter(strictStore{memoryStore: newMemoryStore()}, discardSink{}, slog.New(slog.DiscardHandler))
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go w.run(ctx)
+		record, value := testRecord()
+		record.ID = idInSamePart(t, 1)
+		progress := &job.Progress{Done: map[string][]byte{"0.0": make([]byte, 2*table.DefaultMaxValueBytes)}}
+		w.enqueue(ctx, &pool.SaveProgress{Queue: record.Queue, ID: idInSamePart(t, 2), Version: 1, Seq: 1, Progress: progress})
+		synctest.Wait()
+		sent := time.Now()
+		if result, err := w.storeNewJob(ctx, record, value); result != Stored {
+			t.Fatalf("storeNewJob = %v, %v, want stored", result, err)
+		}
+		want(t, "wait of a new job", time.Since(sent), time.Duration(0))
+	})
+}
+
 // awaitSaved returns the answer to a write that was sent after the others.
 func awaitSaved(t *testing.T, r *eventRecorder) *pool.JobSaved {
 	t.Helper()
--- a/manager/writer.go
+++ b/manager/writer.go
@@ -74,6 +74,10 @@
 // tooLarge reports whether the store is likely to refuse the write for its size.
 func (w *write) tooLarge() bool { return len(w.value) > table.DefaultMaxValueBytes }
 
+// hopeless reports whether the write is not worth a retry for which the other writes of its part would
+// wait: no caller waits for it, and the owner sends it again.
+func (w *write) hopeless() bool { return w.progressOnly() && w.tooLarge() }
+
 // endsAtOnce reports whether the write stores the outcome of a new job instead of the job,
 // because it was cancelled before.
 func (w *write) endsAtOnce() bool { return w.guardVersion > 0 && !w.overridesGuard }
@@ -333,7 +337,7 @@
 				return
 			}
 			batch = remaining
-		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun && refused < maxRefusedRetries:
+		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun && refused < maxRefusedRetries && !batch[0].hopeless():
 			refused++
 			sleep(ctx, retryBackoff.NextBackOff())
 		case errors.As(err, &failed) && failed.Verdict == verdict.NotRun || lost >= maxLostRetries:
