--- a/core/pool/occurrence_test.go
+++ b/core/pool/occurrence_test.go
@@ -226,3 +226,30 @@
 	h.answerPoll("r1", nil, []EndedTask{{Number: 1, Task: duplicate.Task, Run: duplicate.Run, Result: RunStopped}})
 	want(t, "refusal once it has ended", h.pool.runners["r1"].refusal(h.now), Obstacle(""))
 }
+
+// TestRepeatedJobsUnderFaults covers overlapping takeovers, outages of the store, restarts and lost
+// answers while wide occurrences of repeated jobs follow each other; the simulation fails if a task
+// that is done starts again.
+func TestRepeatedJobsUnderFaults(t *testing.T) {
+	for _, seed := range []uint64{8, 12, 27} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 8, faults{lostRequests: 0.002, lostResponses: 0.005, failedWrites: 0.1})
+			sim.runnerCPU = 16000
+			for n, inMemory := range []int{1, 2, 4} {
+				spec := wideJob(inMemory, 2*inMemory+2)
+				spec.Repeat.Interval = 500 * time.Millisecond
+				sim.submit(n+1, spec)
+			}
+			for at := time.Duration(0); at < 12*time.Second; at += sim.randomBetween(500*time.Millisecond, 2*time.Second) {
+				disrupt := []func(){
+					sim.takeOver,
+					func() { sim.storeDownUntil = sim.now.Add(sim.randomUpTo(3 * time.Second)) },
+					func() { sim.runners[sim.random.IntN(4)].restart(sim.randomUpTo(2*time.Second), 500*time.Millisecond) },
+					func() { sim.disconnect(sim.runners[4+sim.random.IntN(4)], sim.randomUpTo(4*time.Second)) },
+				}[sim.random.IntN(4)]
+				sim.after(at, disrupt)
+			}
+			sim.requireFinished(3 * time.Minute)
+		})
+	}
+}
