--- a/core/job/fuzz_test.go
+++ b/core/job/fuzz_test.go
@@ -12,6 +12,11 @@
 	} {
 		f.Add([]byte(value))
 	}
+	compact, err := (&Progress{Done: map[string][]byte{"2.0": {3}}, Failed: map[string]FailedRuns{"2.0.3": {1, 4}}, FinishedOccurrences: 2}).EncodeCompact(&Spec{Steps: []Step{{Count: 5}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(compact)
 	f.Fuzz(func(t *testing.T, value []byte) {
 		if r, err := DecodeRecord(value); err == nil {
 			if err := r.Spec.Validate(); err != nil {
