--- a/core/pool/incarnation.go
+++ b/core/pool/incarnation.go
@@ -193,6 +193,15 @@
 // still be carried out by the current one. Its expiry has no meaning there.
 func (t *task) mayStartLate() bool { return t.startedBeforeRestart && t.orderUnanswered }
 
+// stopLateStarts stops the unlisted tasks that a late start may still bring to the runner.
+func (p *Pool) stopLateStarts(now time.Time, r *runnerState, listed map[job.TaskID]bool) {
+	for _, t := range r.sortedTasks() {
+		if t.mayStartLate() && !listed[t.id] {
+			p.stopTask(now, t, "its start may reach the runner after the restart")
+		}
+	}
+}
+
 // endedRunnerRetention is how long the registration of an ended runner is ignored. A
 // registration normally expires after three heartbeats without a report, about 5 s.
 const endedRunnerRetention = 10 * time.Second
--- a/core/pool/poll.go
+++ b/core/pool/poll.go
@@ -383,15 +383,6 @@
 	})
 }
 
-// stopLateStarts stops the unlisted tasks that a late start may still bring to the runner.
-func (p *Pool) stopLateStarts(now time.Time, r *runnerState, listed map[job.TaskID]bool) {
-	for _, t := range r.sortedTasks() {
-		if t.mayStartLate() && !listed[t.id] {
-			p.stopTask(now, t, "its start may reach the runner after the restart")
-		}
-	}
-}
-
 // retryUnknownStops repeats the stop of each unknown run until the runner no longer
 // lists it.
 func (p *Pool) retryUnknownStops(r *runnerState, listed map[job.TaskID]bool) {
